--- /dev/null
+++ b/Libraries/LibKernel/Kernel.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibKernel/Bus.h>
+#include <LibKernel/EventLoop.h>
+#include <LibKernel/Registry.h>
+#include <LibSettings/Settings.h>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace prometheus {
+class Registry;
+}
+
+namespace chive {
+
+/// A part of the process that owns its sockets and its state. Tasks share nothing but the bus.
+class Task
+{
+public:
+    virtual ~Task() = default;
+
+    /// Called once all tasks exist and have subscribed; sockets open and timers start here.
+    virtual void start() = 0;
+};
+
+class Kernel;
+
+/// A task that registers itself.
+struct TaskPlugin
+{
+    std::string_view name;
+    std::unique_ptr<Task> (*create)(Kernel &kernel) = nullptr;
+};
+
+/// What a task may use of its process, and the owner of all tasks.
+class Kernel
+{
+public:
+    Kernel(Settings settings, const Clock &clock);
+    ~Kernel();
+
+    [[nodiscard]] const Settings &settings() const { return settings_; }
+    [[nodiscard]] const Clock &clock() const { return clock_; }
+    [[nodiscard]] EventLoop &loop() { return loop_; }
+    [[nodiscard]] Bus &bus() { return bus_; }
+    [[nodiscard]] prometheus::Registry &metrics() { return *metrics_; }
+
+    /// Names a part of the status report; the function is called for each report.
+    void addStatus(std::string section, std::function<nlohmann::json()> report);
+    [[nodiscard]] nlohmann::json status() const;
+
+    /// Creates every registered task, starts them and runs until the loop stops.
+    void run();
+
+private:
+    Settings settings_;
+    const Clock &clock_;
+    EventLoop loop_;
+    Bus bus_{loop_};
+    std::shared_ptr<prometheus::Registry> metrics_;
+    std::map<std::string, std::function<nlohmann::json()>> status_;
+    std::vector<std::unique_ptr<Task>> tasks_;
+};
+
+} // namespace chive
--- /dev/null
+++ b/Libraries/LibSettings/Settings.cpp
@@ -0,0 +1,26 @@
+#include <LibSettings/Settings.h>
+
+#include <charconv>
+
+namespace chive {
+
+std::string format(const Endpoint &endpoint)
+{
+    return endpoint.ip + ":" + std::to_string(endpoint.port);
+}
+
+Result<Endpoint> parseEndpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0)
+        return Error{Error::Kind::Invalid, "expected IP:PORT, got '" + std::string(text) + "'"};
+    const std::string_view digits = text.substr(colon + 1);
+    std::uint16_t port = 0;
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    if (error != std::errc() || end != digits.data() + digits.size() || port == 0)
+        return Error{Error::Kind::Invalid,
+                     "expected a port of 1 to 65535 in '" + std::string(text) + "'"};
+    return Endpoint{std::string(text.substr(0, colon)), port};
+}
+
+} // namespace chive
--- /dev/null
+++ b/Libraries/LibSettings/Settings.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibCore/Result.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chive {
+
+/// An IP number and a TCP port.
+struct Endpoint
+{
+    std::string ip;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const Endpoint &) const = default;
+};
+
+/// "10.0.0.1:7000" for messages, and back.
+[[nodiscard]] std::string format(const Endpoint &endpoint);
+[[nodiscard]] Result<Endpoint> parseEndpoint(std::string_view text);
+
+/// The settings of one node, from its TOML file.
+struct Settings
+{
+    std::string nodeId; ///< Unique in the mesh, [a-z0-9-]{1,64}.
+    std::string dataCentre;
+    std::string region;
+
+    Endpoint callers;     ///< Where callers' HTTP requests enter.
+    Endpoint targetCalls; ///< Where the target beside this node announces itself and calls out.
+    Endpoint links;       ///< Where other nodes connect.
+    Endpoint admin;       ///< /metrics, /status and /healthz.
+
+    Endpoint log;                ///< The platform's log service.
+    std::vector<Endpoint> peers; ///< Link endpoints to ask when the log is down at the start.
+
+    std::size_t maximumBodySize = 8 * 1024 * 1024;   ///< Bytes, per request and per answer.
+    std::size_t maximumBytesHeld = 24 * 1024 * 1024; ///< Bytes of all bodies held at once.
+    Milliseconds drainTimeout{30'000}; ///< How long a planned stop waits for work in flight.
+    std::string logDirectory;          ///< glog files; empty logs to standard error.
+
+    std::string choicePolicy = "two-choices"; ///< Plug-in that chooses the target.
+    std::string admissionPolicy = "adaptive"; ///< Plug-in that admits work at a target.
+};
+
+/// Parses and checks the text of a settings file. Every mistake is reported, one line each, as
+/// `name:line: what was expected`.
+[[nodiscard]] Result<Settings> parseSettings(std::string_view text, std::string_view fileName);
+
+} // namespace chive
