LibHttp: Add an HTTP server and client that say what was sent and never pass on a cut body

A cut body is an error of evhttp except where the close of the connection ends it; such a response is refused. evhttp does not notice that a peer leaves while its response is owed, and enabling its reads would end the process on pipelined bytes, so the exchange watches the socket for EV_CLOSED. Bytes that left the output buffer are counted: zero proves that the server cannot have acted.

--- /dev/null
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -0,0 +1,167 @@
+#include <LibHttp/HttpServer.h>
+
+#include <LibKernel/EventLoop.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+#include <utility>
+
+namespace chive {
+
+namespace {
+
+constexpr std::size_t maximumHeaderBytes = 64 * 1024;
+
+std::string methodName(evhttp_cmd_type type)
+{
+    switch (type) {
+    case EVHTTP_REQ_GET:
+        return "GET";
+    case EVHTTP_REQ_POST:
+        return "POST";
+    case EVHTTP_REQ_HEAD:
+        return "HEAD";
+    case EVHTTP_REQ_PUT:
+        return "PUT";
+    case EVHTTP_REQ_DELETE:
+        return "DELETE";
+    case EVHTTP_REQ_OPTIONS:
+        return "OPTIONS";
+    case EVHTTP_REQ_PATCH:
+        return "PATCH";
+    default:
+        return "OTHER";
+    }
+}
+
+HttpRequest readRequest(evhttp_request *request)
+{
+    HttpRequest result;
+    result.method = methodName(evhttp_request_get_command(request));
+    result.target = evhttp_request_get_uri(request);
+    const evkeyvalq *headers = evhttp_request_get_input_headers(request);
+    for (const evkeyval *header = headers->tqh_first; header != nullptr;
+         header = header->next.tqe_next)
+        result.headers.emplace_back(header->key, header->value);
+    evbuffer *input = evhttp_request_get_input_buffer(request);
+    std::string body(evbuffer_get_length(input), '\0');
+    evbuffer_copyout(input, body.data(), body.size());
+    result.body = makeBody(std::move(body));
+    return result;
+}
+
+/// The framing of a response belongs to this connection, not to the answer that it carries.
+bool isFramingHeader(std::string_view name)
+{
+    return isSameHeaderName(name, "Content-Length") || isSameHeaderName(name, "Transfer-Encoding")
+           || isSameHeaderName(name, "Connection");
+}
+
+} // namespace
+
+HttpExchange::HttpExchange(evhttp_request *request)
+    : request_(request)
+{
+    evhttp_connection *connection = evhttp_request_get_connection(request);
+    bufferevent *buffer = evhttp_connection_get_bufferevent(connection);
+    // evhttp does not read while a response is owed, so it does not see the peer leave, and its
+    // own reads must not be enabled: pipelined bytes in that state end the process.
+    const auto onClosed = [](evutil_socket_t, short, void *argument) {
+        static_cast<HttpExchange *>(argument)->handleClosed();
+    };
+    closed_ = event_new(evhttp_connection_get_base(connection), bufferevent_getfd(buffer),
+                        EV_CLOSED, onClosed, this);
+    event_add(closed_, nullptr);
+    // The library frees the request with its connection, a timeout or the end of the server.
+    const auto onFreed = [](evhttp_connection *, void *argument) {
+        auto *self = static_cast<HttpExchange *>(argument);
+        self->request_ = nullptr;
+        self->handleClosed();
+    };
+    evhttp_connection_set_closecb(connection, onFreed, this);
+}
+
+HttpExchange::~HttpExchange()
+{
+    if (request_ != nullptr)
+        respond({500, {}, nullptr});
+}
+
+void HttpExchange::handleClosed()
+{
+    if (closed_ != nullptr)
+        event_free(std::exchange(closed_, nullptr));
+    const auto callback = std::exchange(peerGone_, nullptr);
+    if (callback)
+        callback();
+}
+
+void HttpExchange::respond(const HttpResponse &response)
+{
+    if (request_ == nullptr)
+        return;
+    if (closed_ != nullptr)
+        event_free(std::exchange(closed_, nullptr));
+    evhttp_request *request = std::exchange(request_, nullptr);
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
+    evkeyvalq *headers = evhttp_request_get_output_headers(request);
+    for (const auto &[name, value] : response.headers) {
+        if (!isFramingHeader(name))
+            evhttp_add_header(headers, name.c_str(), value.c_str());
+    }
+    evbuffer *body = evbuffer_new();
+    if (response.body && !response.body->empty()) {
+        // The buffer keeps the shared body alive until its bytes are on the wire.
+        auto *owner = new std::shared_ptr<const std::string>(response.body);
+        const auto release = [](const void *, std::size_t, void *argument) {
+            delete static_cast<std::shared_ptr<const std::string> *>(argument);
+        };
+        evbuffer_add_reference(body, response.body->data(), response.body->size(), release, owner);
+    }
+    evhttp_send_reply(request, response.status, nullptr, body);
+    evbuffer_free(body);
+}
+
+HttpServer::HttpServer(evhttp *server, Handler handler)
+    : server_(server)
+    , handler_(std::move(handler))
+{}
+
+HttpServer::~HttpServer()
+{
+    evhttp_free(server_);
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::listen(EventLoop &loop, const Endpoint &endpoint,
+                                                       std::size_t maximumBodySize, Handler handler)
+{
+    evhttp *server = evhttp_new(loop.base());
+    std::unique_ptr<HttpServer> result(new HttpServer(server, std::move(handler)));
+    result->socket_ = evhttp_bind_socket_with_handle(server, endpoint.ip.c_str(), endpoint.port);
+    if (result->socket_ == nullptr)
+        return Error{Error::Kind::Unavailable, "cannot listen on " + format(endpoint)};
+    evhttp_set_max_body_size(server, static_cast<ev_ssize_t>(maximumBodySize));
+    evhttp_set_max_headers_size(server, maximumHeaderBytes);
+    evhttp_set_allowed_methods(server, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD
+                                               | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE
+                                               | EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS);
+    const auto handle = [](evhttp_request *request, void *argument) {
+        auto *self = static_cast<HttpServer *>(argument);
+        self->handler_(readRequest(request), std::make_shared<HttpExchange>(request));
+    };
+    evhttp_set_gencb(server, handle, result.get());
+    return result;
+}
+
+void HttpServer::stopAccepting()
+{
+    if (socket_ != nullptr)
+        evhttp_del_accept_socket(server_, std::exchange(socket_, nullptr));
+}
+
+} // namespace chive
--- /dev/null
+++ b/Libraries/LibHttp/HttpServer.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <LibCore/Result.h>
+#include <LibHttp/HttpMessage.h>
+#include <LibSettings/Settings.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+struct event;
+struct evhttp;
+struct evhttp_bound_socket;
+struct evhttp_request;
+
+namespace chive {
+
+class EventLoop;
+
+/// One request of a peer that waits for its response.
+class HttpExchange
+{
+public:
+    explicit HttpExchange(evhttp_request *request);
+    ~HttpExchange();
+    HttpExchange(const HttpExchange &) = delete;
+    HttpExchange &operator=(const HttpExchange &) = delete;
+
+    /// Sends the whole response. Only the first call counts; none is sent to a peer that is gone.
+    void respond(const HttpResponse &response);
+
+    /// Calls back once if the peer closes its connection before the response was sent.
+    void onPeerGone(std::function<void()> callback) { peerGone_ = std::move(callback); }
+
+private:
+    void handleClosed();
+
+    evhttp_request *request_ = nullptr;
+    event *closed_ = nullptr;
+    std::function<void()> peerGone_;
+};
+
+/// An HTTP/1.1 server on one endpoint (evhttp). A body over the limit is answered with 413 by the
+/// library, a malformed request with 400.
+class HttpServer
+{
+public:
+    using Handler = std::function<void(HttpRequest, std::shared_ptr<HttpExchange>)>;
+
+    [[nodiscard]] static Result<std::unique_ptr<HttpServer>>
+    listen(EventLoop &loop, const Endpoint &endpoint, std::size_t maximumBodySize, Handler handler);
+
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /// Accepts no more connections; those that are open go on.
+    void stopAccepting();
+
+private:
+    HttpServer(evhttp *server, Handler handler);
+
+    evhttp *server_ = nullptr;
+    evhttp_bound_socket *socket_ = nullptr;
+    Handler handler_;
+};
+
+} // namespace chive
--- a/Libraries/LibKernel/EventLoop.cpp
+++ b/Libraries/LibKernel/EventLoop.cpp
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 #include <glog/logging.h>
 
+#include <csignal>
 #include <utility>
 
 namespace chive {
@@ -59,6 +60,8 @@
     : base_(event_base_new())
 {
     CHECK(base_ != nullptr) << "libevent offers no event base";
+    // A write to a connection that the peer has closed must be an error, not the end.
+    std::signal(SIGPIPE, SIG_IGN);
     const auto wake = [](evutil_socket_t, short, void *argument) {
         static_cast<EventLoop *>(argument)->drain();
     };
--- a/Libraries/LibNode/Call.h
+++ b/Libraries/LibNode/Call.h
@@ -3,18 +3,15 @@
 #include <LibCatalogue/Catalogue.h>
 #include <LibCore/Clock.h>
 #include <LibCore/Result.h>
+#include <LibHttp/HttpMessage.h>
 
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace chive {
 
-using Header = std::pair<std::string, std::string>;
-
 /// What a request may still spend in the whole tree of calls below it.
 struct Allowance
 {
--- /dev/null
+++ b/Tests/LibHttp/TestHttp.cpp
@@ -0,0 +1,178 @@
+#include <LibHttp/HttpClient.h>
+#include <LibHttp/HttpServer.h>
+#include <LibKernel/EventLoop.h>
+
+#include <doctest/doctest.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+
+#include <optional>
+
+using namespace chive;
+
+namespace {
+
+constexpr std::size_t bodyLimit = 1024 * 1024;
+const Endpoint endpoint{"127.0.0.1", 19'471};
+const Endpoint nobody{"127.0.0.1", 19'472};
+
+/// A server that answers every connection with fixed bytes and closes it.
+class RawServer
+{
+public:
+    RawServer(EventLoop &loop, std::string bytes)
+        : bytes_(std::move(bytes))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(endpoint.port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const auto accept = [](evconnlistener *listener, evutil_socket_t socket, sockaddr *, int,
+                               void *argument) {
+            auto *self = static_cast<RawServer *>(argument);
+            bufferevent *peer = bufferevent_socket_new(evconnlistener_get_base(listener), socket,
+                                                       BEV_OPT_CLOSE_ON_FREE);
+            bufferevent_setcb(peer, handleRead, handleWritten, nullptr, self);
+            bufferevent_enable(peer, EV_READ | EV_WRITE);
+        };
+        listener_ = evconnlistener_new_bind(loop.base(), accept, this,
+                                            LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE, -1,
+                                            reinterpret_cast<sockaddr *>(&address), sizeof address);
+        REQUIRE(listener_ != nullptr);
+    }
+    ~RawServer() { evconnlistener_free(listener_); }
+
+private:
+    static void handleRead(bufferevent *peer, void *argument)
+    {
+        evbuffer_drain(bufferevent_get_input(peer), bodyLimit);
+        const auto &bytes = static_cast<RawServer *>(argument)->bytes_;
+        bufferevent_write(peer, bytes.data(), bytes.size());
+    }
+
+    static void handleWritten(bufferevent *peer, void *) { bufferevent_free(peer); }
+
+    std::string bytes_;
+    evconnlistener *listener_ = nullptr;
+};
+
+HttpClient::Outcome exchange(EventLoop &loop, HttpClient &client, const HttpRequest &request)
+{
+    std::optional<HttpClient::Outcome> result;
+    client.send(request, Milliseconds(2000), [&](HttpClient::Outcome outcome) {
+        result = std::move(outcome);
+        loop.stop();
+    });
+    loop.run();
+    REQUIRE(result.has_value());
+    return std::move(*result);
+}
+
+} // namespace
+
+TEST_CASE("A request is answered whole")
+{
+    EventLoop loop;
+    auto server = HttpServer::listen(
+            loop, endpoint, bodyLimit, [](const HttpRequest &request, const auto &exchange) {
+                exchange->respond({201, {{"X-Target", request.target}}, request.body});
+            });
+    REQUIRE(server.has_value());
+    HttpClient client(loop, endpoint, bodyLimit);
+
+    SUBCASE("with its own body, and again over the kept connection")
+    {
+        for (int round = 0; round < 3; ++round) {
+            HttpRequest request{"POST", "/a?b=c", {}, makeBody(std::string(100'000, 'x'))};
+            const auto outcome = exchange(loop, client, request);
+            REQUIRE(outcome.has_value());
+            CHECK(outcome.value().status == 201);
+            CHECK(findHeader(outcome.value().headers, "x-target") == "/a?b=c");
+            CHECK(bytesOf(outcome.value().body) == *request.body);
+        }
+    }
+
+    SUBCASE("a body over the limit is refused")
+    {
+        HttpClient generous(loop, endpoint, 4 * bodyLimit);
+        HttpRequest request{"POST", "/", {}, makeBody(std::string(2 * bodyLimit, 'x'))};
+        const auto outcome = exchange(loop, generous, request);
+        CHECK((!outcome.has_value() || outcome.value().status == 413));
+    }
+}
+
+TEST_CASE("A caller that leaves is noticed before it is answered")
+{
+    EventLoop loop;
+    bool isGone = false;
+    std::shared_ptr<HttpExchange> pending;
+    HttpClient client(loop, endpoint, bodyLimit);
+    auto server = HttpServer::listen(loop, endpoint, bodyLimit,
+                                     [&](const HttpRequest &, const auto &exchange) {
+                                         pending = exchange;
+                                         exchange->onPeerGone([&] {
+                                             isGone = true;
+                                             loop.stop();
+                                         });
+                                         client.cancel(1);
+                                     });
+    REQUIRE(server.has_value());
+    client.send({}, Milliseconds(2000), [](const auto &) {});
+    const Timer limit = loop.after(Milliseconds(2000), [&] { loop.stop(); });
+    loop.run();
+    CHECK(isGone);
+}
+
+TEST_CASE("A failed request says whether any of it was sent")
+{
+    EventLoop loop;
+
+    SUBCASE("nothing, when nobody listens")
+    {
+        HttpClient client(loop, nobody, bodyLimit);
+        const auto outcome = exchange(loop, client, {});
+        REQUIRE_FALSE(outcome.has_value());
+        CHECK(outcome.error().stage == HttpFailure::Stage::NotSent);
+    }
+
+    SUBCASE("something, when the server closes without an answer")
+    {
+        const RawServer server(loop, "");
+        HttpClient client(loop, endpoint, bodyLimit);
+        HttpRequest request;
+        std::optional<HttpClient::Outcome> result;
+        const auto id = client.send(request, Milliseconds(500), [&](auto outcome) {
+            result = std::move(outcome);
+            loop.stop();
+        });
+        const Timer limit = loop.after(Milliseconds(200), [&] { client.cancel(id); });
+        loop.run();
+        REQUIRE_FALSE(result->has_value());
+        CHECK(result->error().stage == HttpFailure::Stage::Sent);
+    }
+}
+
+TEST_CASE("A cut response is never taken for a whole one")
+{
+    EventLoop loop;
+    std::string bytes;
+    SUBCASE("shorter than its Content-Length")
+    {
+        bytes = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort";
+    }
+    SUBCASE("chunked without its last chunk")
+    {
+        bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n";
+    }
+    SUBCASE("ended only by the close of the connection")
+    {
+        bytes = "HTTP/1.1 200 OK\r\n\r\nshort";
+    }
+    const RawServer server(loop, bytes);
+    HttpClient client(loop, endpoint, bodyLimit);
+    const auto outcome = exchange(loop, client, {});
+    REQUIRE_FALSE(outcome.has_value());
+    CHECK(outcome.error().stage != HttpFailure::Stage::NotSent);
+}
