--- /dev/null
+++ b/Libraries/LibNode/Messages.cpp
@@ -0,0 +1,11 @@
+#include <LibNode/Messages.h>
+
+namespace chive {
+
+Token nextToken()
+{
+    static Token last = 0;
+    return ++last;
+}
+
+} // namespace chive
--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -16,9 +16,26 @@
 
 using Token = std::uint64_t;
 
+/// A token that no other exchange in this process has. Never 0.
+[[nodiscard]] Token nextToken();
+
 // ---- Calls -------------------------------------------------------------------------------------
 
-/// Router to target task: run this call on the target beside this node.
+/// Entry or target task to router: bring this call to a target and its outcome back.
+struct RouteCall
+{
+    Token token = 0;
+    std::shared_ptr<const Call> call;
+};
+
+/// Router to whoever asked.
+struct CallRouted
+{
+    Token token = 0;
+    CallOutcome outcome;
+};
+
+/// Router or peer task to target task: run this call on the target beside this node.
 struct RunCall
 {
     Token token = 0;
@@ -32,7 +49,7 @@
     CallOutcome outcome;
 };
 
-/// The caller is gone; the answer is no longer wanted.
+/// The answer to RouteCall or RunCall is no longer wanted; it still comes, as a verdict.
 struct CancelCall
 {
     Token token = 0;
@@ -67,6 +84,13 @@
     LinkClass linkClass = LinkClass::Control;
     Topic topic = Topic::Hello;
     std::shared_ptr<const std::string> payload;
+    Token token = 0; ///< Not 0: report SendFailed when the frame was provably not sent.
+};
+
+/// From the link task: not one byte of the frame left this process, and none will.
+struct SendFailed
+{
+    Token token = 0;
 };
 
 /// From the link task.
@@ -78,12 +102,13 @@
     std::shared_ptr<const std::string> payload;
 };
 
-/// From the link task: a connection of this class could not be made or broke; frames may be lost.
+/// From the link task: a connection of this class could not be made or broke; frames that were
+/// sent on it may be lost.
 struct PeerLost
 {
     Endpoint peer;
     LinkClass linkClass = LinkClass::Control;
-    bool everConnected = false; ///< False proves that nothing was sent on it.
+    bool wasOpen = false; ///< False: the connection could not be made.
 };
 
 // ---- Membership --------------------------------------------------------------------------------
--- /dev/null
+++ b/Tests/LibNode/TestCallCodec.cpp
@@ -0,0 +1,122 @@
+#include <LibNode/CallCodec.h>
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace chive;
+
+namespace {
+
+Call sampleCall(TimePoint now)
+{
+    Call call;
+    call.requestId = "r1";
+    call.service = "ledger";
+    call.kind = "entry";
+    call.method = "POST";
+    call.path = "/entries?unit=7";
+    call.headers = {{"Content-Type", "text/plain"}, {"X", ""}};
+    call.body = makeBody(std::string("body\0with\xFF bytes", 16));
+    call.key = "k";
+    call.fingerprint = "f";
+    call.importance = Importance::High;
+    call.repetition = Repetition::AtMostOnce;
+    call.duration = Duration::Long;
+    call.deadline = now + Milliseconds(1234);
+    call.allowance = {2, 60};
+    return call;
+}
+
+} // namespace
+
+TEST_CASE("A call crosses a link unchanged")
+{
+    const ManualClock here;
+    ManualClock there;
+    there.advance(std::chrono::hours(5));
+    const Call call = sampleCall(here.now());
+    const auto decoded = decodeCall(encodeCall(77, call, here.now()), there.now());
+    REQUIRE(decoded.has_value());
+    const Call &copy = decoded.value().call;
+    CHECK(decoded.value().token == 77);
+    CHECK(copy.requestId == call.requestId);
+    CHECK(copy.service == call.service);
+    CHECK(copy.kind == call.kind);
+    CHECK(copy.method == call.method);
+    CHECK(copy.path == call.path);
+    CHECK(copy.headers == call.headers);
+    CHECK(*copy.body == *call.body);
+    CHECK(copy.key == call.key);
+    CHECK(copy.fingerprint == call.fingerprint);
+    CHECK(copy.importance == call.importance);
+    CHECK(copy.repetition == call.repetition);
+    CHECK(copy.duration == call.duration);
+    CHECK(copy.allowance == call.allowance);
+    CHECK(copy.deadline - there.now() == Milliseconds(1234));
+}
+
+TEST_CASE("An outcome crosses a link unchanged")
+{
+    CallOutcome outcome;
+    outcome.unspent = {1, 9};
+    outcome.load = {4, 3, 20, 2};
+    outcome.failedBelow = true;
+
+    SUBCASE("as an answer")
+    {
+        outcome.result = Answer{207, {{"A", "b"}}, makeBody("whole")};
+        const auto decoded = decodeOutcome(encodeOutcome(5, outcome));
+        REQUIRE(decoded.has_value());
+        const CallOutcome &copy = decoded.value().outcome;
+        REQUIRE(copy.result.has_value());
+        CHECK(copy.result.value().status == 207);
+        CHECK(*copy.result.value().body == "whole");
+        CHECK(copy.unspent == outcome.unspent);
+        CHECK(copy.load.limit == 20);
+        CHECK(copy.failedBelow);
+    }
+
+    SUBCASE("as a verdict")
+    {
+        Verdict verdict = mayHaveRun(Reason::TargetFailed, "gone");
+        verdict.retryAfter = Milliseconds(1500);
+        verdict.retriedBelow = true;
+        outcome.result = verdict;
+        const auto decoded = decodeOutcome(encodeOutcome(5, outcome));
+        REQUIRE(decoded.has_value());
+        const Verdict &copy = decoded.value().outcome.result.error();
+        CHECK(copy.execution == Execution::MayHaveRun);
+        CHECK(copy.reason == Reason::TargetFailed);
+        CHECK(copy.retryAfter == verdict.retryAfter);
+        CHECK(copy.retriedBelow);
+    }
+}
+
+TEST_CASE("Damaged frames are errors, never calls or answers cut short")
+{
+    const ManualClock clock;
+    CallOutcome outcome;
+    outcome.result = Answer{200, {}, makeBody(std::string(500, 'x'))};
+    const std::string answer = encodeOutcome(1, outcome);
+    const std::string call = encodeCall(1, sampleCall(clock.now()), clock.now());
+
+    SUBCASE("an answer that is cut anywhere is refused")
+    {
+        for (std::size_t size = 0; size < answer.size(); ++size)
+            CHECK_FALSE(decodeOutcome(std::string_view(answer).substr(0, size)).has_value());
+    }
+
+    SUBCASE("random damage never crashes")
+    {
+        std::mt19937 generator(3);
+        for (int round = 0; round < 20'000; ++round) {
+            std::string damaged = round % 2 == 0 ? answer : call;
+            for (int change = 0; change < 3; ++change)
+                damaged[generator() % damaged.size()] = static_cast<char>(generator());
+            (void)decodeOutcome(damaged);
+            (void)decodeCall(damaged, clock.now());
+            (void)decodeCancel(damaged);
+        }
+    }
+}
