ChiveRouter: Add the binary, its commands and the settings parser

LibToml reads tables strictly (type, range, unknown keys, line of every mistake); LibSettings parses the settings file with it. The binary's commands register themselves as CommandPlugin; `node` makes a Kernel and turns SIGTERM into a graceful shutdown, `check` reads settings files.

--- /dev/null
+++ b/Libraries/LibSettings/ParseSettings.cpp
@@ -0,0 +1,130 @@
+#include <LibSettings/Settings.h>
+
+#include <LibToml/TomlTable.h>
+
+#include <arpa/inet.h>
+
+namespace chive {
+
+namespace {
+
+constexpr IntegerRange bodySizeRange{1'024, 1'073'741'824, "bytes"};
+constexpr IntegerRange heldBytesRange{1'024, 68'719'476'736, "bytes"};
+constexpr IntegerRange drainTimeoutRange{0, 3'600'000, "ms"};
+
+bool isEndpoint(std::string_view text)
+{
+    const Result<Endpoint> endpoint = parseEndpoint(text);
+    if (!endpoint.has_value())
+        return false;
+    in_addr address{};
+    return inet_pton(AF_INET, endpoint.value().ip.c_str(), &address) == 1;
+}
+
+TextRule endpointRule()
+{
+    return {isEndpoint, "an IPv4 number and a port, \"10.0.0.1:7001\""};
+}
+
+Endpoint endpoint(TomlTable &table, std::string_view key)
+{
+    const std::string text = table.text(key, Presence::Required, endpointRule());
+    const Result<Endpoint> parsed = parseEndpoint(text);
+    return parsed.has_value() ? parsed.value() : Endpoint{};
+}
+
+void parseEndpoints(TomlTable &file, Settings &settings)
+{
+    auto table = file.table("endpoints", Presence::Required);
+    if (!table)
+        return;
+    settings.callers = endpoint(*table, "callers");
+    settings.targetCalls = endpoint(*table, "target_calls");
+    settings.links = endpoint(*table, "links");
+    settings.admin = endpoint(*table, "admin");
+    table->rejectUnknownKeys();
+}
+
+void parseLog(TomlTable &file, Settings &settings)
+{
+    auto table = file.table("log", Presence::Required);
+    if (!table)
+        return;
+    settings.log = endpoint(*table, "endpoint");
+    table->rejectUnknownKeys();
+}
+
+void parseMesh(TomlTable &file, Settings &settings)
+{
+    auto table = file.table("mesh", Presence::Optional);
+    if (!table)
+        return;
+    for (const std::string &peer : table->texts("peers", endpointRule()))
+        settings.peers.push_back(parseEndpoint(peer).value());
+    table->rejectUnknownKeys();
+}
+
+void parseLimits(TomlTable &file, Settings &settings)
+{
+    auto table = file.table("limits", Presence::Optional);
+    if (!table)
+        return;
+    settings.maximumBodySize = static_cast<std::size_t>(
+            table->integer("maximum_body_bytes",
+                           static_cast<std::int64_t>(settings.maximumBodySize), bodySizeRange));
+    settings.maximumBytesHeld = static_cast<std::size_t>(
+            table->integer("maximum_held_bytes",
+                           static_cast<std::int64_t>(settings.maximumBytesHeld), heldBytesRange));
+    settings.drainTimeout = Milliseconds(
+            table->integer("drain_timeout_ms", settings.drainTimeout.count(), drainTimeoutRange));
+    if (settings.maximumBytesHeld < settings.maximumBodySize)
+        table->reject("maximum_held_bytes", "expected at least maximum_body_bytes");
+    table->rejectUnknownKeys();
+}
+
+void parsePolicies(TomlTable &file, Settings &settings)
+{
+    auto table = file.table("policies", Presence::Optional);
+    if (!table)
+        return;
+    if (table->has("choice"))
+        settings.choicePolicy = table->text("choice", Presence::Optional, identifierRule());
+    if (table->has("admission"))
+        settings.admissionPolicy = table->text("admission", Presence::Optional, identifierRule());
+    table->rejectUnknownKeys();
+}
+
+void parseLogging(TomlTable &file, Settings &settings)
+{
+    auto table = file.table("logging", Presence::Optional);
+    if (!table)
+        return;
+    settings.logDirectory = table->text("directory", Presence::Optional, plainTextRule());
+    table->rejectUnknownKeys();
+}
+
+} // namespace
+
+Result<Settings> parseSettings(std::string_view text, std::string_view fileName)
+{
+    TomlMistakes mistakes(fileName);
+    auto file = TomlTable::parse(text, mistakes);
+    if (!file)
+        return mistakes.error();
+    Settings settings;
+    settings.nodeId = file->text("node_id", Presence::Required, identifierRule());
+    settings.dataCentre = file->text("data_centre", Presence::Required, identifierRule());
+    settings.region = file->text("region", Presence::Required, identifierRule());
+    parseEndpoints(*file, settings);
+    parseLog(*file, settings);
+    parseMesh(*file, settings);
+    parseLimits(*file, settings);
+    parsePolicies(*file, settings);
+    parseLogging(*file, settings);
+    file->rejectUnknownKeys();
+    if (!mistakes.isEmpty())
+        return mistakes.error();
+    return settings;
+}
+
+} // namespace chive
--- /dev/null
+++ b/Services/ChiveRouter/NodeCommand.cpp
@@ -0,0 +1,94 @@
+#include <ChiveRouter/Usage.h>
+#include <LibKernel/Kernel.h>
+#include <LibNode/Messages.h>
+
+#include <glog/logging.h>
+
+#include <csignal>
+
+namespace chive {
+
+namespace {
+
+/// Turns the first SIGTERM or SIGINT into a graceful shutdown and the second into an immediate one.
+class Shutdown
+{
+public:
+    explicit Shutdown(Kernel &kernel)
+        : kernel_(kernel)
+    {
+        kernel.loop().onSignal(SIGTERM, [this] { handleSignal(); });
+        kernel.loop().onSignal(SIGINT, [this] { handleSignal(); });
+        kernel.bus().subscribe<Drained>([this](const Drained &) {
+            if (!hasBegun_)
+                return;
+            LOG(INFO) << "event=drained";
+            kernel_.loop().stop();
+        });
+    }
+
+    [[nodiscard]] ExitCode exitCode() const { return exitCode_; }
+
+private:
+    void handleSignal()
+    {
+        if (hasBegun_) {
+            abandon("second signal");
+            return;
+        }
+        hasBegun_ = true;
+        LOG(INFO) << "event=stop-requested";
+        kernel_.bus().post(StopRequested{});
+        limit_ = kernel_.loop().after(kernel_.settings().drainTimeout,
+                                      [this] { abandon("drain timeout"); });
+    }
+
+    void abandon(std::string_view cause)
+    {
+        LOG(WARNING) << "event=stopped-before-drained cause=\"" << cause << '"';
+        exitCode_ = ExitCode::Failed;
+        kernel_.loop().stop();
+    }
+
+    Kernel &kernel_;
+    Timer limit_;
+    bool hasBegun_ = false;
+    ExitCode exitCode_ = ExitCode::Ok;
+};
+
+ExitCode runNode(ParsedArguments &arguments)
+{
+    const std::optional<Settings> settings = readSettings(arguments["--settings"].asString());
+    if (!settings)
+        return ExitCode::InvalidInput;
+    if (!settings->logDirectory.empty()) {
+        FLAGS_logtostderr = false;
+        FLAGS_log_dir = settings->logDirectory;
+    }
+    // A peer that closes its connection must not end this process.
+    std::signal(SIGPIPE, SIG_IGN);
+    const SystemClock clock;
+    Kernel kernel(*settings, clock);
+    const Shutdown shutdown(kernel);
+    LOG(INFO) << "event=start node=" << settings->nodeId << " data_centre=" << settings->dataCentre;
+    kernel.run();
+    return shutdown.exitCode();
+}
+
+const Registration<CommandPlugin> registration{CommandPlugin{
+        "node",
+        "runs the node beside a target",
+        "Runs the node beside a target until SIGTERM, then finishes what is in flight.\n\n"
+        "Usage:\n"
+        "  chiverouter node --settings=FILE\n"
+        "  chiverouter node (-h | --help)\n\n"
+        "Options:\n"
+        "  --settings=FILE  The settings of the node (TOML).\n",
+        [](const CommandPlugin &command, std::span<const std::string> arguments) {
+            return withArguments(command, arguments, runNode);
+        },
+}};
+
+} // namespace
+
+} // namespace chive
