--- a/Libraries/LibNode/CallCodec.cpp
+++ b/Libraries/LibNode/CallCodec.cpp
@@ -26,17 +26,28 @@
     return frame;
 }
 
+Error malformed(const char *what)
+{
+    return Error{Error::Kind::Invalid, std::string("malformed frame: ") + what};
+}
+
+/// Runs a decoder whose accessors throw on a wrong type or a missing field.
+template<typename Value, typename Decoder>
+Result<Value> guarded(Decoder decoder)
+{
+    try {
+        return decoder();
+    } catch (const json::exception &exception) {
+        return malformed(exception.what());
+    }
+}
+
 struct Parts
 {
     json head;
     std::string_view body;
 };
 
-Error malformed(const char *what)
-{
-    return Error{Error::Kind::Invalid, std::string("malformed frame: ") + what};
-}
-
 Result<Parts> splitFrame(std::string_view frame)
 {
     if (frame.size() < lengthBytes)
@@ -48,10 +59,13 @@
     if (size > frame.size())
         return malformed("head longer than the frame");
     const std::string_view headBytes = frame.substr(0, size);
-    json head = json::from_cbor(headBytes.begin(), headBytes.end(), true, false);
-    if (!head.is_object())
-        return malformed("head is no CBOR map");
-    return Parts{std::move(head), frame.substr(size)};
+    // An excessive container size throws even where exceptions are switched off.
+    return guarded<Parts>([&]() -> Result<Parts> {
+        json head = json::from_cbor(headBytes.begin(), headBytes.end());
+        if (!head.is_object())
+            return malformed("head is no CBOR map");
+        return Parts{std::move(head), frame.substr(size)};
+    });
 }
 
 json encodeHeaders(const std::vector<Header> &headers)
@@ -92,17 +106,6 @@
     return static_cast<Enum>(number);
 }
 
-/// Runs a decoder whose accessors throw on a wrong type or a missing field.
-template<typename Value, typename Decoder>
-Result<Value> guarded(Decoder decoder)
-{
-    try {
-        return decoder();
-    } catch (const json::exception &exception) {
-        return malformed(exception.what());
-    }
-}
-
 json encodeVerdict(const Verdict &verdict)
 {
     json value = {
