--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -8,6 +8,7 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
 
 #include <utility>
 
@@ -127,6 +128,25 @@
     evbuffer_free(body);
 }
 
+void HttpExchange::writeRaw(std::string_view bytes)
+{
+    if (request_ == nullptr)
+        return;
+    evhttp_connection *connection = evhttp_request_get_connection(request_);
+    const int socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    [[maybe_unused]] const ssize_t sent = send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
+void HttpExchange::abandon()
+{
+    if (request_ == nullptr)
+        return;
+    evhttp_connection *connection = evhttp_request_get_connection(request_);
+    shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), SHUT_RDWR);
+    // The library closes the connection when it fails to write this response.
+    respond({500, {}, nullptr});
+}
+
 HttpServer::HttpServer(evhttp *server, Handler handler)
     : server_(server)
     , handler_(std::move(handler))
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 struct event;
 struct evhttp;
@@ -29,6 +30,13 @@
     /// Sends the whole response. Only the first call counts; none is sent to a peer that is gone.
     void respond(const HttpResponse &response);
 
+    /// Writes bytes to the connection as they are, ahead of any response. Short writes are not
+    /// repeated.
+    void writeRaw(std::string_view bytes);
+
+    /// Closes the connection without a response.
+    void abandon();
+
     /// Calls back once if the peer closes its connection before the response was sent.
     void onPeerGone(std::function<void()> callback) { peerGone_ = std::move(callback); }
 
