--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCatalogue/Catalogue.h>
+#include <LibLog/LogPage.h>
 #include <LibNode/Call.h>
 #include <LibSettings/Settings.h>
 
@@ -155,9 +156,12 @@
 {
     Token token = 0;
     Result<std::uint64_t> offset = Error{};
+    bool isRateLimited = false; ///< Nothing was written because the log takes no more for now.
 };
 
-/// To the log task: from now on report every record of the stream, from this offset on.
+/// To the log task: from now on report every record of the stream, from this offset on. Followers
+/// of the same stream share one reader and see each other's records: they ignore those below the
+/// offset they expect.
 struct FollowStream
 {
     std::string stream;
@@ -165,12 +169,6 @@
     Milliseconds interval{250}; ///< Between two reads when nothing new came.
 };
 
-struct LogRecord
-{
-    std::uint64_t offset = 0;
-    std::string payload;
-};
-
 /// From the log task, after each successful read, also when nothing new came.
 struct LogRead
 {
