LibPolicy: Add admission, choice of target, retry allowance and shedding at the entry

Admission has an adaptive limit below the slots, a short queue by importance and deadline, and a bounded share for long work. Choice is the better of two by load times latency. Retries are lent down the tree and capped by a budget for each service.

Ruled out: lowering the limit on latency alone, since a target that is slow for a reason of its own only loses throughput; a lower limit is now a trial that ends when throughput falls.

--- /dev/null
+++ b/Libraries/LibPolicy/AdaptiveAdmission.cpp
@@ -0,0 +1,227 @@
+#include <LibPolicy/Admission.h>
+
+#include <algorithm>
+#include <cmath>
+
+/// The default way of admission: an adaptive limit, a short queue ordered by importance and then
+/// deadline for each duration, a share of the slots for long work, and refusal at once of work
+/// that cannot end in time.
+namespace chive {
+
+namespace {
+
+constexpr std::size_t smallestQueue = 4;
+constexpr Milliseconds admittedHold{100}; ///< How long a lowered level is reported.
+constexpr Milliseconds shortestRetryAfter{100};
+constexpr Milliseconds longestRetryAfter{5'000};
+
+bool isLong(const WorkAttributes &attributes)
+{
+    return attributes.duration == Duration::Long;
+}
+
+std::uint32_t longSlots(const AdmissionState &state)
+{
+    return std::max(1U, currentLimit(state.limit) * state.settings.longSharePercent / 100);
+}
+
+/// Slots that short work can count on while long work is waiting.
+std::uint32_t shortSlots(const AdmissionState &state)
+{
+    const std::uint32_t limit = currentLimit(state.limit);
+    return std::max(1U, limit - std::min(limit - 1, state.longRunning));
+}
+
+bool hasFreeSlot(const AdmissionState &state, Duration duration)
+{
+    if (state.running.size() >= currentLimit(state.limit))
+        return false;
+    return duration == Duration::Short || state.longRunning < longSlots(state);
+}
+
+bool comesBefore(const QueuedWork &left, const QueuedWork &right)
+{
+    if (left.attributes.importance != right.attributes.importance)
+        return left.attributes.importance < right.attributes.importance;
+    if (left.attributes.deadline != right.attributes.deadline)
+        return left.attributes.deadline < right.attributes.deadline;
+    return left.arrival < right.arrival;
+}
+
+std::chrono::nanoseconds fromMilliseconds(double milliseconds)
+{
+    return std::chrono::nanoseconds(static_cast<std::int64_t>(milliseconds * 1e6));
+}
+
+std::chrono::nanoseconds serviceTime(const AdmissionState &state, Duration duration)
+{
+    return fromMilliseconds(duration == Duration::Long ? state.longLatency : state.shortLatency);
+}
+
+/// Whether no work of this duration runs. An idle target is tried whatever the estimate says,
+/// because a bad estimate would otherwise last for ever.
+bool isIdle(const AdmissionState &state, Duration duration)
+{
+    const std::size_t shortRunning = state.running.size() - state.longRunning;
+    return duration == Duration::Long ? state.longRunning == 0 : shortRunning == 0;
+}
+
+/// Work that waits or runs before this one, in rounds of the slots of its duration.
+std::chrono::nanoseconds waitingTime(const AdmissionState &state, const QueuedWork &work)
+{
+    std::size_t ahead = 0;
+    for (const QueuedWork &other : state.queue) {
+        if (other.attributes.duration == work.attributes.duration && comesBefore(other, work))
+            ++ahead;
+    }
+    const double slots = isLong(work.attributes) ? longSlots(state) : shortSlots(state);
+    const double latency = isLong(work.attributes) ? state.longLatency : state.shortLatency;
+    return fromMilliseconds(static_cast<double>(ahead + 1) * latency / slots);
+}
+
+std::size_t queueCapacity(const AdmissionState &state, Duration duration)
+{
+    const std::size_t slots
+            = duration == Duration::Long ? longSlots(state) : currentLimit(state.limit);
+    return std::max(smallestQueue, slots);
+}
+
+std::size_t queuedOf(const AdmissionState &state, Duration duration)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(state.queue, [=](const QueuedWork &work) {
+        return work.attributes.duration == duration;
+    }));
+}
+
+Verdict overloaded(const AdmissionState &state, Duration duration)
+{
+    Verdict verdict = notRun(Reason::Overloaded, "the target is at its limit");
+    const auto estimate
+            = std::chrono::duration_cast<Milliseconds>(10 * serviceTime(state, duration));
+    verdict.retryAfter = std::clamp(estimate, shortestRetryAfter, longestRetryAfter);
+    return verdict;
+}
+
+/// Work of this importance was turned away: report that only more important work is admitted.
+void lowerAdmitted(AdmissionState &state, const WorkAttributes &attributes, TimePoint now)
+{
+    if (isLong(attributes))
+        return;
+    const auto importance = static_cast<std::uint8_t>(attributes.importance);
+    const std::uint8_t level = importance == 0 ? 0 : importance - 1;
+    if (now >= state.admittedUntil || level <= state.admitted) {
+        state.admitted = level;
+        state.admittedUntil = now + admittedHold;
+    }
+}
+
+OfferDecision refuse(AdmissionState &state, const WorkAttributes &attributes, TimePoint now)
+{
+    lowerAdmitted(state, attributes, now);
+    return {Admitted::Refuse, overloaded(state, attributes.duration), {}};
+}
+
+/// The queued work of this duration that would start last, or the end.
+std::vector<QueuedWork>::iterator lastOf(AdmissionState &state, Duration duration)
+{
+    const auto found
+            = std::find_if(state.queue.rbegin(), state.queue.rend(), [=](const QueuedWork &work) {
+                  return work.attributes.duration == duration;
+              });
+    return found == state.queue.rend() ? state.queue.end() : std::prev(found.base());
+}
+
+void enqueue(AdmissionState &state, const QueuedWork &work)
+{
+    const auto position
+            = std::upper_bound(state.queue.begin(), state.queue.end(), work, comesBefore);
+    state.queue.insert(position, work);
+}
+
+OfferDecision offerAdaptive(AdmissionState &state, const WorkAttributes &attributes,
+                            WorkToken token, TimePoint now)
+{
+    if (attributes.deadline <= now)
+        return {Admitted::Refuse, notRun(Reason::DeadlineExceeded), {}};
+
+    const QueuedWork work{token, attributes, state.arrivals++};
+    const Duration duration = attributes.duration;
+    if (!isIdle(state, duration) && now + serviceTime(state, duration) > attributes.deadline)
+        return {Admitted::Refuse, notRun(Reason::DeadlineExceeded, "it would end too late"), {}};
+    if (hasFreeSlot(state, duration) && queuedOf(state, duration) == 0) {
+        markRunning(state, token, duration);
+        return {};
+    }
+
+    noteBinding(state.limit);
+    const auto end = now + waitingTime(state, work) + serviceTime(state, duration);
+    if (end > attributes.deadline)
+        return refuse(state, attributes, now);
+
+    OfferDecision decision{Admitted::Queue, {}, {}};
+    if (queuedOf(state, duration) >= queueCapacity(state, duration)) {
+        const auto last = lastOf(state, duration);
+        if (last->attributes.importance <= attributes.importance)
+            return refuse(state, attributes, now);
+        lowerAdmitted(state, last->attributes, now);
+        decision.evicted.push_back({last->token, overloaded(state, duration)});
+        state.queue.erase(last);
+    }
+    enqueue(state, work);
+    return decision;
+}
+
+void dropExpired(AdmissionState &state, StartDecision &decision, TimePoint now)
+{
+    std::erase_if(state.queue, [&](const QueuedWork &work) {
+        const Duration duration = work.attributes.duration;
+        const auto needed = isIdle(state, duration) ? std::chrono::nanoseconds(0)
+                                                    : serviceTime(state, duration);
+        if (now + needed < work.attributes.deadline)
+            return false;
+        lowerAdmitted(state, work.attributes, now);
+        decision.expired.push_back(
+                {work.token, notRun(Reason::DeadlineExceeded, "expired in the queue")});
+        return true;
+    });
+}
+
+/// The first of each duration that may start. Long work below its share goes before short work of
+/// the same importance, otherwise steady short work would keep it out for good.
+std::vector<QueuedWork>::iterator nextToStart(AdmissionState &state)
+{
+    const auto firstOf = [&](Duration duration) {
+        if (!hasFreeSlot(state, duration))
+            return state.queue.end();
+        return std::ranges::find_if(state.queue, [=](const QueuedWork &work) {
+            return work.attributes.duration == duration;
+        });
+    };
+    const auto longWork = firstOf(Duration::Long);
+    const auto shortWork = firstOf(Duration::Short);
+    if (longWork == state.queue.end())
+        return shortWork;
+    if (shortWork == state.queue.end())
+        return longWork;
+    const bool isShortMoreImportant
+            = shortWork->attributes.importance < longWork->attributes.importance;
+    return isShortMoreImportant ? shortWork : longWork;
+}
+
+StartDecision startAdaptive(AdmissionState &state, TimePoint now)
+{
+    StartDecision decision;
+    dropExpired(state, decision, now);
+    for (auto next = nextToStart(state); next != state.queue.end(); next = nextToStart(state)) {
+        markRunning(state, next->token, next->attributes.duration);
+        decision.started.push_back(next->token);
+        state.queue.erase(next);
+    }
+    return decision;
+}
+
+const Registration<AdmissionPlugin> registration{{"adaptive", offerAdaptive, startAdaptive}};
+
+} // namespace
+
+} // namespace chive
--- /dev/null
+++ b/Libraries/LibPolicy/BaselineChoice.cpp
@@ -0,0 +1,62 @@
+#include <LibPolicy/Choice.h>
+
+/// Ways of choosing that the default is measured against.
+namespace chive {
+
+namespace {
+
+std::optional<std::size_t> chooseInTurn(ChoiceState &state, std::span<const Candidate> candidates,
+                                        const ChoiceQuestion &, TimePoint)
+{
+    if (candidates.empty())
+        return std::nullopt;
+    return state.rotation++ % candidates.size();
+}
+
+/// Apache mod_proxy_balancer, Request Counting Algorithm, with equal shares for all targets.
+std::optional<std::size_t> chooseByCount(ChoiceState &state, std::span<const Candidate> candidates,
+                                         const ChoiceQuestion &, TimePoint)
+{
+    std::optional<std::size_t> chosen;
+    std::int64_t largest = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        TargetView &view = state.targets[std::string(candidates[i].nodeId)];
+        ++view.urgency;
+        if (!chosen || view.urgency > largest) {
+            chosen = i;
+            largest = view.urgency;
+        }
+    }
+    if (chosen) {
+        TargetView &view = state.targets[std::string(candidates[*chosen].nodeId)];
+        view.urgency -= static_cast<std::int64_t>(candidates.size());
+    }
+    return chosen;
+}
+
+std::optional<std::size_t> chooseLeastInFlight(ChoiceState &state,
+                                               std::span<const Candidate> candidates,
+                                               const ChoiceQuestion &, TimePoint)
+{
+    std::optional<std::size_t> chosen;
+    std::size_t least = 0;
+    const std::size_t start = state.rotation++;
+    for (std::size_t step = 0; step < candidates.size(); ++step) {
+        const std::size_t i = (start + step) % candidates.size();
+        const TargetView &view = state.targets[std::string(candidates[i].nodeId)];
+        const std::size_t inFlight = view.shortInFlight.size() + view.longInFlight;
+        if (!chosen || inFlight < least) {
+            chosen = i;
+            least = inFlight;
+        }
+    }
+    return chosen;
+}
+
+const Registration<ChoicePlugin> roundRobin{{"round-robin", chooseInTurn}};
+const Registration<ChoicePlugin> requestCounting{{"request-counting", chooseByCount}};
+const Registration<ChoicePlugin> leastInFlight{{"least-in-flight", chooseLeastInFlight}};
+
+} // namespace
+
+} // namespace chive
--- /dev/null
+++ b/Libraries/LibPolicy/Choice.cpp
@@ -0,0 +1,75 @@
+#include <LibPolicy/Choice.h>
+
+#include <algorithm>
+
+namespace chive {
+
+namespace {
+
+constexpr double latencyGain = 0.1;
+constexpr double probedLatencyGain = 1.0; ///< A probe tells more than what was seen before it.
+
+TargetView &viewOf(ChoiceState &state, std::string_view nodeId)
+{
+    const auto entry = state.targets.find(nodeId);
+    if (entry != state.targets.end())
+        return entry->second;
+    return state.targets.emplace(std::string(nodeId), TargetView{}).first->second;
+}
+
+void smoothLatency(TargetView &view, TimePoint sentAt, TimePoint now)
+{
+    const double sample = std::chrono::duration<double, std::milli>(now - sentAt).count();
+    const double gain = view.slowPause > Milliseconds(0) ? probedLatencyGain : latencyGain;
+    view.latency = view.latency == 0.0 ? sample : view.latency + gain * (sample - view.latency);
+}
+
+} // namespace
+
+void noteSent(ChoiceState &state, std::string_view nodeId, Duration duration, TimePoint now)
+{
+    TargetView &view = viewOf(state, nodeId);
+    if (duration == Duration::Long)
+        ++view.longInFlight;
+    else
+        view.shortInFlight.insert(now);
+}
+
+void noteEnded(ChoiceState &state, std::string_view nodeId, const ObservedEnd &end, TimePoint now)
+{
+    TargetView &view = viewOf(state, nodeId);
+    if (end.duration == Duration::Long) {
+        view.longInFlight -= std::min(view.longInFlight, 1U);
+    } else {
+        const auto sent = view.shortInFlight.find(end.sentAt);
+        if (sent != view.shortInFlight.end())
+            view.shortInFlight.erase(sent);
+        view.isProbing = false;
+    }
+    if (end.load) {
+        view.load = *end.load;
+        view.loadAt = now;
+    }
+    if (end.hasFailed)
+        view.failedAt = now;
+    if (end.wasServed && end.duration == Duration::Short)
+        smoothLatency(view, end.sentAt, now);
+}
+
+void retainTargets(ChoiceState &state, std::span<const Candidate> members)
+{
+    std::erase_if(state.targets, [&](const auto &entry) {
+        return std::ranges::none_of(
+                members, [&](const Candidate &member) { return member.nodeId == entry.first; });
+    });
+}
+
+Microseconds expectedLatency(const ChoiceState &state, std::string_view nodeId)
+{
+    const auto entry = state.targets.find(nodeId);
+    if (entry == state.targets.end())
+        return Microseconds(0);
+    return Microseconds(static_cast<std::int64_t>(entry->second.latency * 1000.0));
+}
+
+} // namespace chive
--- /dev/null
+++ b/Libraries/LibPolicy/Retry.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibNode/Call.h>
+
+#include <optional>
+
+/// Retries and nested calls are bounded over the whole tree of calls below one request, and
+/// retries besides by a budget for each service.
+namespace chive {
+
+/// Takes what a nested call costs from the parent and lends it half of what remains, rounded up.
+/// Nothing if the parent may make no more nested calls. All that the tree below holds or has spent
+/// is always covered by what the root was granted.
+[[nodiscard]] std::optional<Allowance> lendToChild(Allowance &parent);
+
+/// Returns what a child did not spend. A child cannot return more than it was lent; a lost answer
+/// returns nothing, which counts all of it as spent.
+void giveBack(Allowance &parent, const Allowance &lent, const Allowance &unspent);
+
+/// Caps the retries towards one service at a share of the first attempts.
+struct RetryBudget
+{
+    double tokens = 3.0;
+    TimePoint lastRefill;
+};
+
+/// Call for each first attempt.
+void noteFirstAttempt(RetryBudget &budget, TimePoint now);
+
+/// How one attempt ended, as far as a retry depends on it.
+struct AttemptEnd
+{
+    const Judged<Answer> *result = nullptr;
+    bool failedBelow = false;        ///< A nested call failed below.
+    bool hasOtherTarget = false;     ///< Another target could take the retry.
+    Microseconds expectedLatency{0}; ///< Of the next attempt.
+};
+
+/// Whether to try again elsewhere. True takes one retry from the allowance and the budget.
+[[nodiscard]] bool takeRetry(const Call &call, const AttemptEnd &end, Allowance &allowance,
+                             RetryBudget &budget, TimePoint now);
+
+} // namespace chive
