Node: Route calls from entry to target and back

The entry task reads callers' requests, the router chooses a target and retries where that is safe, the peer-call task serves other nodes, the target task admits, runs and cancels, and the drain task ends a planned stop.

--- a/Libraries/LibCatalogue/Catalogue.h
+++ b/Libraries/LibCatalogue/Catalogue.h
@@ -43,9 +43,9 @@
     Importance importance = Importance::Normal;
     Repetition repetition = Repetition::Guarded;
     Duration duration = Duration::Short;
-    Milliseconds deadline{5'000};   ///< Used when the caller names none; also the most allowed.
-    std::uint32_t retries = 2;      ///< For the whole tree of calls below one request.
-    std::uint32_t nestedCalls = 64; ///< Calls in the whole tree below one request.
+    Milliseconds deadline{5'000};    ///< Used when the caller names none; also the most allowed.
+    std::uint32_t retries = 2;       ///< For the whole tree of calls below one request.
+    std::uint32_t nestedCalls = 256; ///< Calls in the whole tree below one request.
 
     bool operator==(const Kind &) const = default;
 };
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -65,8 +65,9 @@
 
 } // namespace
 
-HttpExchange::HttpExchange(evhttp_request *request)
+HttpExchange::HttpExchange(evhttp_request *request, std::shared_ptr<const bool> closesAfter)
     : request_(request)
+    , closesAfter_(std::move(closesAfter))
 {
     evhttp_connection *connection = evhttp_request_get_connection(request);
     bufferevent *buffer = evhttp_connection_get_bufferevent(connection);
@@ -115,6 +116,8 @@
         if (!isFramingHeader(name))
             evhttp_add_header(headers, name.c_str(), value.c_str());
     }
+    if (*closesAfter_)
+        evhttp_add_header(headers, "Connection", "close");
     evbuffer *body = evbuffer_new();
     if (response.body && !response.body->empty()) {
         // The buffer keeps the shared body alive until its bytes are on the wire.
@@ -172,12 +175,18 @@
                                                | EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS);
     const auto handle = [](evhttp_request *request, void *argument) {
         auto *self = static_cast<HttpServer *>(argument);
-        self->handler_(readRequest(request), std::make_shared<HttpExchange>(request));
+        self->handler_(readRequest(request),
+                       std::make_shared<HttpExchange>(request, self->closesAfter_));
     };
     evhttp_set_gencb(server, handle, result.get());
     return result;
 }
 
+void HttpServer::closeAfterResponses()
+{
+    *closesAfter_ = true;
+}
+
 void HttpServer::stopAccepting()
 {
     if (socket_ != nullptr)
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -22,7 +22,8 @@
 class HttpExchange
 {
 public:
-    explicit HttpExchange(evhttp_request *request);
+    /// `closesAfter` is shared with the server and read when the response is sent.
+    HttpExchange(evhttp_request *request, std::shared_ptr<const bool> closesAfter);
     ~HttpExchange();
     HttpExchange(const HttpExchange &) = delete;
     HttpExchange &operator=(const HttpExchange &) = delete;
@@ -44,6 +45,7 @@
     void handleClosed();
 
     evhttp_request *request_ = nullptr;
+    std::shared_ptr<const bool> closesAfter_;
     event *closed_ = nullptr;
     std::function<void()> peerGone_;
 };
@@ -65,11 +67,15 @@
     /// Accepts no more connections; those that are open go on.
     void stopAccepting();
 
+    /// From now on, closes each connection after the response that it gets next.
+    void closeAfterResponses();
+
 private:
     HttpServer(evhttp *server, Handler handler);
 
     evhttp *server_ = nullptr;
     evhttp_bound_socket *socket_ = nullptr;
+    std::shared_ptr<bool> closesAfter_ = std::make_shared<bool>(false);
     Handler handler_;
 };
 
--- a/Libraries/LibKernel/Kernel.cpp
+++ b/Libraries/LibKernel/Kernel.cpp
@@ -28,6 +28,19 @@
     return whole;
 }
 
+void Kernel::addInFlight(std::function<std::size_t()> count)
+{
+    inFlight_.push_back(std::move(count));
+}
+
+std::size_t Kernel::inFlight() const
+{
+    std::size_t sum = 0;
+    for (const auto &count : inFlight_)
+        sum += count();
+    return sum;
+}
+
 void Kernel::run()
 {
     for (const TaskPlugin &plugin : Registry<TaskPlugin>::all())
--- a/Libraries/LibKernel/Kernel.h
+++ b/Libraries/LibKernel/Kernel.h
@@ -8,6 +8,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -57,6 +58,10 @@
     void addStatus(std::string section, std::function<nlohmann::json()> report);
     [[nodiscard]] nlohmann::json status() const;
 
+    /// Adds a count of what a planned stop must wait for.
+    void addInFlight(std::function<std::size_t()> count);
+    [[nodiscard]] std::size_t inFlight() const;
+
     /// Creates every registered task, starts them and runs until the loop stops.
     void run();
 
@@ -67,6 +72,7 @@
     Bus bus_{loop_};
     std::shared_ptr<prometheus::Registry> metrics_;
     std::map<std::string, std::function<nlohmann::json()>> status_;
+    std::vector<std::function<std::size_t()>> inFlight_;
     std::vector<std::unique_ptr<Task>> tasks_;
 };
 
--- /dev/null
+++ b/Services/Node/CrashDetector.cpp
@@ -0,0 +1,65 @@
+#include <Node/CrashDetector.h>
+
+#include <LibHttp/HttpClient.h>
+#include <LibKernel/Kernel.h>
+#include <LibNode/Messages.h>
+
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace chive {
+
+namespace {
+
+/// The connections of a process that ends break one after the other.
+constexpr Milliseconds probeDelay{20};
+constexpr Milliseconds probeTimeout{500};
+constexpr std::size_t maximumProbeBody = 64 * 1024;
+
+} // namespace
+
+CrashDetector::CrashDetector(Kernel &kernel)
+    : kernel_(kernel)
+{}
+
+CrashDetector::~CrashDetector() = default;
+
+void CrashDetector::noteStarted(const std::string &fingerprint)
+{
+    inFlight_.insert(fingerprint);
+}
+
+void CrashDetector::noteEnded(const std::string &fingerprint)
+{
+    const auto found = inFlight_.find(fingerprint);
+    if (found != inFlight_.end())
+        inFlight_.erase(found);
+}
+
+void CrashDetector::noteBroken(const std::string &fingerprint, const Endpoint &target)
+{
+    if (!suspects_.empty())
+        return;
+    suspects_.assign(inFlight_.begin(), inFlight_.end());
+    suspects_.push_back(fingerprint);
+    target_ = target;
+    delay_ = kernel_.loop().after(probeDelay, [this] { probe(); });
+}
+
+void CrashDetector::probe()
+{
+    client_ = std::make_unique<HttpClient>(kernel_.loop(), target_, maximumProbeBody);
+    client_->send({"GET", "/health", {}, nullptr}, probeTimeout,
+                  [this](const HttpClient::Outcome &outcome) {
+                      auto suspects = std::exchange(suspects_, {});
+                      const bool isGone = !outcome.has_value()
+                                          && outcome.error().stage == HttpFailure::Stage::NotSent;
+                      if (!isGone)
+                          return;
+                      LOG(WARNING) << "task=target event=crashed in_flight=" << suspects.size();
+                      kernel_.bus().post(TargetCrashed{std::move(suspects)});
+                  });
+}
+
+} // namespace chive
--- /dev/null
+++ b/Services/Node/DrainTask.cpp
@@ -0,0 +1,63 @@
+#include <LibKernel/Kernel.h>
+#include <LibNode/Messages.h>
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+#include <memory>
+
+namespace chive {
+
+namespace {
+
+/// Peers learn within this time that the target is leaving, so new work may still arrive until
+/// then and is refused as not run or passed on.
+constexpr Milliseconds announcementTime{2'000};
+constexpr Milliseconds checkInterval{20};
+
+/// Ends a planned stop once nothing is in flight and all peers had time to learn of it.
+class DrainTask final : public Task
+{
+public:
+    explicit DrainTask(Kernel &kernel)
+        : kernel_(kernel)
+    {
+        kernel.bus().subscribe<StopRequested>([this](const StopRequested &) { begin(); });
+        kernel.addStatus("drain", [this] {
+            return nlohmann::json{{"stopping", timer_.isActive()},
+                                  {"in_flight", kernel_.inFlight()}};
+        });
+    }
+
+    void start() override {}
+
+private:
+    void begin()
+    {
+        if (timer_.isActive())
+            return;
+        LOG(INFO) << "task=drain event=begin in_flight=" << kernel_.inFlight();
+        began_ = kernel_.clock().now();
+        timer_ = kernel_.loop().every(checkInterval, [this] { check(); });
+    }
+
+    void check()
+    {
+        const bool hadTime = kernel_.clock().now() - began_ >= announcementTime;
+        if (hadTime && kernel_.inFlight() == 0)
+            kernel_.bus().post(Drained{});
+    }
+
+    Kernel &kernel_;
+    TimePoint began_;
+    Timer timer_;
+};
+
+const Registration<TaskPlugin> registration{TaskPlugin{
+        "drain",
+        [](Kernel &kernel) -> std::unique_ptr<Task> { return std::make_unique<DrainTask>(kernel); },
+}};
+
+} // namespace
+
+} // namespace chive
--- /dev/null
+++ b/Services/Node/EntryTask.cpp
@@ -0,0 +1,126 @@
+#include <LibCore/Identifier.h>
+#include <LibHttp/HttpServer.h>
+#include <LibKernel/Kernel.h>
+#include <LibNode/Inbound.h>
+#include <LibNode/Messages.h>
+#include <Node/CallMetrics.h>
+
+#include <glog/logging.h>
+
+#include <map>
+#include <memory>
+#include <utility>
+
+namespace chive {
+
+namespace {
+
+/// Takes the requests of callers and gives them whole answers or verdicts.
+class EntryTask final : public Task
+{
+public:
+    explicit EntryTask(Kernel &kernel)
+        : kernel_(kernel)
+        , metrics_(kernel.metrics())
+        , catalogue_(std::make_shared<const Catalogue>())
+    {
+        kernel.bus().subscribe<CatalogueChanged>(
+                [this](const CatalogueChanged &changed) { catalogue_ = changed.catalogue; });
+        kernel.bus().subscribe<CallRouted>([this](const CallRouted &routed) { finish(routed); });
+        kernel.bus().subscribe<StopRequested>([this](const StopRequested &) { stop(); });
+        kernel.addInFlight([this] { return open_.size(); });
+    }
+
+    void start() override
+    {
+        auto server = HttpServer::listen(
+                kernel_.loop(), kernel_.settings().callers, kernel_.settings().maximumBodySize,
+                [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
+                    begin(request, exchange);
+                });
+        if (!server.has_value())
+            LOG(FATAL) << "task=entry error=\"" << server.error().message << '"';
+        server_ = std::move(server.value());
+    }
+
+private:
+    struct OpenRequest
+    {
+        std::shared_ptr<HttpExchange> exchange;
+        std::shared_ptr<const Call> call;
+        TimePoint since;
+        std::size_t bytesHeld = 0;
+    };
+
+    void begin(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange)
+    {
+        const TimePoint now = kernel_.clock().now();
+        auto call = readCall(request, *catalogue_, now);
+        if (!call.has_value()) {
+            refuse(*exchange, call.error(), request);
+            return;
+        }
+        const std::size_t size = bytesOf(request.body).size();
+        if (bytesHeld_ + size > kernel_.settings().maximumBytesHeld) {
+            refuse(*exchange, memoryVerdict(), request);
+            return;
+        }
+        bytesHeld_ += size;
+        const Token token = nextToken();
+        auto shared = std::make_shared<const Call>(std::move(call.value()));
+        open_.emplace(token, OpenRequest{exchange, shared, now, size});
+        exchange->onPeerGone([this, token] { kernel_.bus().post(CancelCall{token}); });
+        kernel_.bus().post(RouteCall{token, std::move(shared)});
+    }
+
+    static Verdict memoryVerdict()
+    {
+        Verdict verdict = notRun(Reason::Overloaded, "the node holds too many bytes of bodies");
+        verdict.retryAfter = Milliseconds(1000);
+        return verdict;
+    }
+
+    void refuse(HttpExchange &exchange, const Verdict &verdict, const HttpRequest &request)
+    {
+        metrics_.countUnread(verdict);
+        std::string requestId(findHeader(request.headers, headers::requestId));
+        if (requestId.empty() || verdict.reason == Reason::BadRequest)
+            requestId = randomIdentifier();
+        exchange.respond(responseFor(verdict, requestId));
+    }
+
+    void finish(const CallRouted &routed)
+    {
+        const auto found = open_.find(routed.token);
+        if (found == open_.end())
+            return;
+        const OpenRequest request = std::move(found->second);
+        open_.erase(found);
+        bytesHeld_ -= request.bytesHeld;
+        metrics_.countFinished(*request.call, routed.outcome.result,
+                               kernel_.clock().now() - request.since);
+        request.exchange->respond(responseFor(routed.outcome.result, request.call->requestId));
+    }
+
+    void stop()
+    {
+        server_->stopAccepting();
+        server_->closeAfterResponses();
+    }
+
+    Kernel &kernel_;
+    CallMetrics metrics_;
+    std::shared_ptr<const Catalogue> catalogue_;
+    std::unique_ptr<HttpServer> server_;
+    std::map<Token, OpenRequest> open_;
+    std::size_t bytesHeld_ = 0;
+};
+
+const Registration<TaskPlugin> registration{TaskPlugin{
+        "entry",
+        [](Kernel &kernel) -> std::unique_ptr<Task> { return std::make_unique<EntryTask>(kernel); },
+}};
+
+} // namespace
+
+} // namespace chive
--- /dev/null
+++ b/Services/Node/LinkTask.cpp
@@ -0,0 +1,232 @@
+#include <LibKernel/Kernel.h>
+#include <LibLink/Link.h>
+#include <LibNode/Messages.h>
+#include <Node/LinkFrame.h>
+
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <glog/logging.h>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+#include <prometheus/counter.h>
+#include <prometheus/registry.h>
+
+#include <arpa/inet.h>
+#include <cstdlib>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace chive {
+
+namespace {
+
+constexpr std::size_t frameOverhead = 1024 * 1024;       // bytes, for the head of a frame
+constexpr std::size_t maximumBacklog = 32 * 1024 * 1024; // bytes that wait on one link
+constexpr std::size_t maximumPendingFrames = 4096;       // frames that wait for one link to open
+
+/// One link with what waits for it to open.
+struct Connection
+{
+    std::unique_ptr<Link> link;
+    std::optional<LinkKey> key; ///< Unknown on an accepted link until its Hello.
+    std::deque<SendToPeer> pending;
+};
+
+/// Owns the links to all other nodes. A link is made when a frame needs one, and the link that the
+/// other side made is used as well, so that a pair of nodes needs one link of each class.
+class LinkTask final : public Task
+{
+public:
+    explicit LinkTask(Kernel &kernel)
+        : kernel_(kernel)
+    {
+        auto &bytes = prometheus::BuildCounter()
+                              .Name("chiverouter_link_bytes_total")
+                              .Help("Bytes on links between nodes.")
+                              .Register(kernel.metrics());
+        for (const LinkClass linkClass : allLinkClasses) {
+            const std::string name(nameOf(linkClass));
+            sent_[linkClass] = &bytes.Add({{"class", name}, {"direction", "sent"}});
+            received_[linkClass] = &bytes.Add({{"class", name}, {"direction", "received"}});
+        }
+        kernel.bus().subscribe<SendToPeer>([this](const SendToPeer &frame) { send(frame); });
+        kernel.addStatus("links", [this] { return report(); });
+    }
+
+    ~LinkTask() override
+    {
+        if (listener_ != nullptr)
+            evconnlistener_free(listener_);
+    }
+
+    void start() override
+    {
+        const Endpoint &endpoint = kernel_.settings().links;
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(endpoint.port);
+        inet_pton(AF_INET, endpoint.ip.c_str(), &address.sin_addr);
+        const auto accept
+                = [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *argument) {
+                      static_cast<LinkTask *>(argument)->accept(socket);
+                  };
+        listener_ = evconnlistener_new_bind(
+                kernel_.loop().base(), accept, this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE, -1,
+                reinterpret_cast<const sockaddr *>(&address), sizeof address);
+        if (listener_ == nullptr)
+            LOG(FATAL) << "task=link error=\"cannot listen on " << format(endpoint) << '"';
+    }
+
+private:
+    using ConnectionId = std::uint64_t;
+
+    [[nodiscard]] std::size_t maximumMessage() const
+    {
+        return kernel_.settings().maximumBodySize + frameOverhead;
+    }
+
+    Link::Events eventsOf(ConnectionId id)
+    {
+        return {[this, id] { handleOpened(id); },
+                [this, id](std::string_view message) { handleMessage(id, message); },
+                [this, id] { handleClosed(id); }};
+    }
+
+    void accept(int socket)
+    {
+        const ConnectionId id = nextId_++;
+        connections_[id].link
+                = Link::accept(kernel_.loop(), socket, maximumMessage(), eventsOf(id));
+    }
+
+    Connection &connect(const LinkKey &key)
+    {
+        const ConnectionId id = nextId_++;
+        Connection &connection = connections_[id];
+        connection.key = key;
+        byKey_[key] = id;
+        connection.link = Link::connect(kernel_.loop(), key.peer, maximumMessage(), eventsOf(id));
+        return connection;
+    }
+
+    void send(const SendToPeer &frame)
+    {
+        const LinkKey key{frame.peer, frame.linkClass};
+        const auto found = byKey_.find(key);
+        Connection &connection
+                = found == byKey_.end() ? connect(key) : connections_.at(found->second);
+        if (!connection.link->isOpen()) {
+            if (connection.pending.size() >= maximumPendingFrames)
+                reportUnsent(frame);
+            else
+                connection.pending.push_back(frame);
+            return;
+        }
+        write(connection, frame);
+    }
+
+    void write(Connection &connection, const SendToPeer &frame)
+    {
+        const std::string message = joinFrame(frame.topic, bytesOf(frame.payload));
+        const bool isSent
+                = connection.link->backlog() < maximumBacklog && connection.link->send(message);
+        if (!isSent) {
+            reportUnsent(frame);
+            return;
+        }
+        sent_.at(frame.linkClass)->Increment(static_cast<double>(message.size()));
+    }
+
+    void reportUnsent(const SendToPeer &frame)
+    {
+        if (frame.token != 0)
+            kernel_.bus().post(SendFailed{frame.token});
+    }
+
+    void handleOpened(ConnectionId id)
+    {
+        Connection &connection = connections_.at(id);
+        if (!connection.key)
+            return;
+        const LinkKey self{kernel_.settings().links, connection.key->linkClass};
+        connection.link->send(joinFrame(Topic::Hello, encodeHello(self)));
+        const auto pending = std::exchange(connection.pending, {});
+        for (const SendToPeer &frame : pending)
+            write(connection, frame);
+    }
+
+    void handleMessage(ConnectionId id, std::string_view message)
+    {
+        Connection &connection = connections_.at(id);
+        const auto frame = splitFrame(message);
+        if (!frame) {
+            LOG_EVERY_N(WARNING, 100) << "task=link error=\"frame with an unknown topic\"";
+            return;
+        }
+        if (frame->topic == Topic::Hello) {
+            handleHello(id, connection, frame->payload);
+            return;
+        }
+        if (!connection.key)
+            return;
+        received_.at(connection.key->linkClass)->Increment(static_cast<double>(message.size()));
+        kernel_.bus().post(ReceivedFromPeer{connection.key->peer, connection.key->linkClass,
+                                            frame->topic, makeBody(std::string(frame->payload))});
+    }
+
+    void handleHello(ConnectionId id, Connection &connection, std::string_view payload)
+    {
+        const auto key = decodeHello(payload);
+        if (!key.has_value()) {
+            LOG_EVERY_N(WARNING, 100) << "task=link error=\"" << key.error().message << '"';
+            return;
+        }
+        connection.key = key.value();
+        // An own link that is open or on its way stays in use: frames already wait on it.
+        byKey_.emplace(key.value(), id);
+    }
+
+    void handleClosed(ConnectionId id)
+    {
+        const auto found = connections_.find(id);
+        const Connection connection = std::move(found->second);
+        connections_.erase(found);
+        if (!connection.key)
+            return;
+        const auto current = byKey_.find(*connection.key);
+        if (current != byKey_.end() && current->second == id)
+            byKey_.erase(current);
+        for (const SendToPeer &frame : connection.pending)
+            reportUnsent(frame);
+        kernel_.bus().post(PeerLost{connection.key->peer, connection.key->linkClass,
+                                    connection.link->hasOpened()});
+    }
+
+    [[nodiscard]] nlohmann::json report() const
+    {
+        std::size_t open = 0;
+        for (const auto &[id, connection] : connections_)
+            open += connection.link->isOpen() ? 1 : 0;
+        return {{"open", open}, {"connecting", connections_.size() - open}};
+    }
+
+    Kernel &kernel_;
+    evconnlistener *listener_ = nullptr;
+    ConnectionId nextId_ = 1;
+    std::map<ConnectionId, Connection> connections_;
+    std::map<LinkKey, ConnectionId> byKey_;
+    std::map<LinkClass, prometheus::Counter *> sent_;
+    std::map<LinkClass, prometheus::Counter *> received_;
+};
+
+const Registration<TaskPlugin> registration{TaskPlugin{
+        "link",
+        [](Kernel &kernel) -> std::unique_ptr<Task> { return std::make_unique<LinkTask>(kernel); },
+}};
+
+} // namespace
+
+} // namespace chive
--- /dev/null
+++ b/Services/Node/PeerCallTask.cpp
@@ -0,0 +1,107 @@
+#include <LibKernel/Kernel.h>
+#include <LibNode/CallCodec.h>
+#include <LibNode/Messages.h>
+
+#include <glog/logging.h>
+
+#include <map>
+#include <memory>
+#include <utility>
+
+namespace chive {
+
+namespace {
+
+/// Runs the calls of other nodes on the target beside this one, and sends the outcomes back.
+class PeerCallTask final : public Task
+{
+public:
+    explicit PeerCallTask(Kernel &kernel)
+        : kernel_(kernel)
+    {
+        kernel.bus().subscribe<ReceivedFromPeer>(
+                [this](const ReceivedFromPeer &frame) { handleFrame(frame); });
+        kernel.bus().subscribe<CallRan>([this](const CallRan &ran) { handleOutcome(ran); });
+        kernel.bus().subscribe<PeerLost>([this](const PeerLost &lost) { handleLost(lost); });
+        kernel.addInFlight([this] { return running_.size(); });
+    }
+
+    void start() override {}
+
+private:
+    /// Where the outcome of a call goes.
+    struct Origin
+    {
+        Endpoint peer;
+        LinkClass linkClass = LinkClass::Short;
+        Token peerToken = 0;
+    };
+
+    void handleFrame(const ReceivedFromPeer &frame)
+    {
+        if (frame.topic == Topic::Call)
+            run(frame);
+        else if (frame.topic == Topic::Cancel)
+            cancel(frame);
+    }
+
+    void run(const ReceivedFromPeer &frame)
+    {
+        auto peerCall = decodeCall(*frame.payload, kernel_.clock().now());
+        if (!peerCall.has_value()) {
+            LOG_EVERY_N(WARNING, 100) << "task=peer-call peer=" << format(frame.peer) << " error=\""
+                                      << peerCall.error().message << '"';
+            return;
+        }
+        const Token token = nextToken();
+        running_.emplace(token, Origin{frame.peer, frame.linkClass, peerCall.value().token});
+        kernel_.bus().post(
+                RunCall{token, std::make_shared<const Call>(std::move(peerCall.value().call))});
+    }
+
+    void cancel(const ReceivedFromPeer &frame)
+    {
+        const auto peerToken = decodeCancel(*frame.payload);
+        if (!peerToken.has_value())
+            return;
+        for (const auto &[token, origin] : running_) {
+            if (origin.peer == frame.peer && origin.peerToken == peerToken.value())
+                kernel_.bus().post(CancelCall{token});
+        }
+    }
+
+    /// Nobody waits for the answers any more, so the work would be wasted.
+    void handleLost(const PeerLost &lost)
+    {
+        for (const auto &[token, origin] : running_) {
+            if (origin.peer == lost.peer && origin.linkClass == lost.linkClass)
+                kernel_.bus().post(CancelCall{token});
+        }
+    }
+
+    void handleOutcome(const CallRan &ran)
+    {
+        const auto found = running_.find(ran.token);
+        if (found == running_.end())
+            return;
+        const Origin origin = found->second;
+        running_.erase(found);
+        SendToPeer frame{origin.peer, origin.linkClass, Topic::Answer, nullptr};
+        frame.payload = makeBody(encodeOutcome(origin.peerToken, ran.outcome));
+        kernel_.bus().post(std::move(frame));
+    }
+
+    Kernel &kernel_;
+    std::map<Token, Origin> running_;
+};
+
+const Registration<TaskPlugin> registration{TaskPlugin{
+        "peer-call",
+        [](Kernel &kernel) -> std::unique_ptr<Task> {
+            return std::make_unique<PeerCallTask>(kernel);
+        },
+}};
+
+} // namespace
+
+} // namespace chive
--- /dev/null
+++ b/Services/Node/RouterTask.cpp
@@ -0,0 +1,361 @@
+#include <LibKernel/Kernel.h>
+#include <LibNode/CallCodec.h>
+#include <LibNode/Messages.h>
+#include <LibPolicy/Choice.h>
+#include <LibPolicy/Retry.h>
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+#include <prometheus/counter.h>
+#include <prometheus/registry.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace chive {
+
+namespace {
+
+/// How long after the deadline a node waits for the verdict of the other node, which knows better
+/// whether the call began.
+constexpr Milliseconds verdictGrace{50};
+
+/// Moves the larger part of what is left to an attempt. The rest allows another attempt when the
+/// answer of this one is lost, which counts all that it held as spent.
+Allowance lendToAttempt(Allowance &left)
+{
+    const Allowance kept{left.retries - left.retries / 2, left.calls / 4};
+    const Allowance lent{left.retries - kept.retries, left.calls - kept.calls};
+    left = kept;
+    return lent;
+}
+
+/// Brings each call to a target of its service, and tries elsewhere where that is safe and allowed.
+class RouterTask final : public Task
+{
+public:
+    explicit RouterTask(Kernel &kernel)
+        : kernel_(kernel)
+        , choice_(Registry<ChoicePlugin>::find(kernel.settings().choicePolicy))
+        , attemptsTotal_(prometheus::BuildCounter()
+                                 .Name("chiverouter_attempts_total")
+                                 .Help("Attempts to run a call, by service and order.")
+                                 .Register(kernel.metrics()))
+    {
+        if (choice_ == nullptr)
+            LOG(FATAL) << "task=router error=\"no choice policy '" << kernel.settings().choicePolicy
+                       << "'\"";
+        Bus &bus = kernel.bus();
+        bus.subscribe<RouteCall>([this](const RouteCall &message) { begin(message); });
+        bus.subscribe<CancelCall>([this](const CancelCall &message) { cancel(message.token); });
+        bus.subscribe<CallRan>(
+                [this](const CallRan &ran) { handleOutcome(ran.token, ran.outcome); });
+        bus.subscribe<ReceivedFromPeer>([this](const ReceivedFromPeer &frame) {
+            if (frame.topic == Topic::Answer)
+                handleAnswer(frame);
+        });
+        bus.subscribe<SendFailed>([this](const SendFailed &failed) {
+            endWithVerdict(failed.token,
+                           notRun(Reason::TargetUnreachable, "no link to the target's node"));
+        });
+        bus.subscribe<PeerLost>([this](const PeerLost &lost) { handleLost(lost); });
+        bus.subscribe<MembersChanged>(
+                [this](const MembersChanged &changed) { handleMembers(changed); });
+        kernel.addInFlight([this] { return routed_.size(); });
+        kernel.addStatus("router", [this] {
+            return nlohmann::json{{"calls", routed_.size()}, {"attempts", attempts_.size()}};
+        });
+    }
+
+    void start() override {}
+
+private:
+    /// A call on its way, from RouteCall to CallRouted.
+    struct Routed
+    {
+        std::shared_ptr<const Call> call;
+        Allowance left;
+        Token attempt = 0;       ///< The attempt that is out; 0 for none.
+        bool mayHaveRun = false; ///< An earlier attempt may have run.
+        std::set<std::string> tried;
+        Timer limit;
+    };
+
+    /// One try of a call at one target.
+    struct Attempt
+    {
+        Token routed = 0;
+        std::string nodeId;
+        Endpoint peer;
+        bool isLocal = false;
+        LinkClass linkClass = LinkClass::Short;
+        Allowance lent;
+        TimePoint sentAt;
+    };
+
+    void begin(const RouteCall &message)
+    {
+        Routed routed;
+        routed.call = message.call;
+        routed.left = message.call->allowance;
+        const TimePoint now = kernel_.clock().now();
+        const auto left = std::chrono::ceil<Milliseconds>(message.call->deadline - now);
+        const Token token = message.token;
+        routed.limit = kernel_.loop().after(std::max(left, Milliseconds(0)) + verdictGrace,
+                                            [this, token] { expire(token); });
+        routed_.emplace(token, std::move(routed));
+        noteFirstAttempt(budgets_[message.call->service], now);
+        tryNext(token, notRun(Reason::NoTarget,
+                              "no live target of '" + message.call->service + "' is known"));
+    }
+
+    [[nodiscard]] std::vector<const Member *> membersOf(const std::string &service,
+                                                        const std::set<std::string> &tried) const
+    {
+        std::vector<const Member *> found;
+        for (const Member &member : members_) {
+            const bool isUsable
+                    = member.state == MemberState::Alive || member.state == MemberState::Suspect;
+            if (isUsable && member.service == service && tried.count(member.nodeId) == 0)
+                found.push_back(&member);
+        }
+        return found;
+    }
+
+    [[nodiscard]] const Member *choose(const Call &call, const std::set<std::string> &tried)
+    {
+        const auto members = membersOf(call.service, tried);
+        std::vector<Candidate> candidates;
+        candidates.reserve(members.size());
+        for (const Member *member : members)
+            candidates.push_back({member->nodeId,
+                                  member->dataCentre == kernel_.settings().dataCentre,
+                                  member->state == MemberState::Suspect});
+        const auto index = choice_->choose(choices_[call.service], candidates,
+                                           {call.importance, call.duration}, kernel_.clock().now());
+        return index ? members.at(*index) : nullptr;
+    }
+
+    /// Starts the next attempt, or ends the call with `otherwise` when there is no target for it.
+    void tryNext(Token token, const Verdict &otherwise)
+    {
+        Routed &routed = routed_.at(token);
+        const Member *member = choose(*routed.call, routed.tried);
+        if (member == nullptr) {
+            finish(token, otherwise);
+            return;
+        }
+        routed.tried.insert(member->nodeId);
+        routed.attempt = nextToken();
+        Attempt attempt;
+        attempt.routed = token;
+        attempt.nodeId = member->nodeId;
+        attempt.peer = member->links;
+        attempt.isLocal = member->nodeId == kernel_.settings().nodeId;
+        attempt.linkClass
+                = routed.call->duration == Duration::Long ? LinkClass::Bulk : LinkClass::Short;
+        attempt.lent = lendToAttempt(routed.left);
+        attempt.sentAt = kernel_.clock().now();
+        noteSent(choices_[routed.call->service], attempt.nodeId, routed.call->duration,
+                 attempt.sentAt);
+        attemptsTotal_
+                .Add({{"service", routed.call->service},
+                      {"order", routed.tried.size() == 1 ? "first" : "retry"}})
+                .Increment();
+        send(routed, attempt);
+        attempts_.emplace(routed.attempt, std::move(attempt));
+    }
+
+    void send(const Routed &routed, const Attempt &attempt)
+    {
+        Call call = *routed.call;
+        call.allowance = attempt.lent;
+        if (attempt.isLocal) {
+            kernel_.bus().post(
+                    RunCall{routed.attempt, std::make_shared<const Call>(std::move(call))});
+            return;
+        }
+        SendToPeer frame{attempt.peer, attempt.linkClass, Topic::Call, nullptr, routed.attempt};
+        frame.payload = makeBody(encodeCall(routed.attempt, call, kernel_.clock().now()));
+        kernel_.bus().post(std::move(frame));
+    }
+
+    void handleAnswer(const ReceivedFromPeer &frame)
+    {
+        const auto answer = decodeOutcome(*frame.payload);
+        if (!answer.has_value()) {
+            LOG_EVERY_N(WARNING, 100) << "task=router peer=" << format(frame.peer) << " error=\""
+                                      << answer.error().message << '"';
+            return;
+        }
+        handleOutcome(answer.value().token, answer.value().outcome);
+    }
+
+    /// A lost answer gives nothing back: what it held counts as spent.
+    void endWithVerdict(Token attempt, Verdict verdict)
+    {
+        CallOutcome outcome;
+        const auto found = attempts_.find(attempt);
+        if (found != attempts_.end() && verdict.execution == Execution::NotRun)
+            outcome.unspent = found->second.lent;
+        outcome.result = std::move(verdict);
+        handleOutcome(attempt, outcome, LoadReport::Absent);
+    }
+
+    enum class LoadReport {
+        Present,
+        Absent,
+    };
+
+    void handleOutcome(Token token, const CallOutcome &outcome,
+                       LoadReport report = LoadReport::Present)
+    {
+        const auto found = attempts_.find(token);
+        if (found == attempts_.end())
+            return;
+        const Attempt attempt = std::move(found->second);
+        attempts_.erase(found);
+        Routed &routed = routed_.at(attempt.routed);
+        routed.attempt = 0;
+        giveBack(routed.left, attempt.lent, outcome.unspent);
+        observe(*routed.call, attempt, outcome, report);
+        decide(attempt.routed, outcome);
+    }
+
+    void observe(const Call &call, const Attempt &attempt, const CallOutcome &outcome,
+                 LoadReport report)
+    {
+        ObservedEnd end;
+        end.sentAt = attempt.sentAt;
+        end.duration = call.duration;
+        end.wasServed = outcome.result.has_value();
+        end.hasFailed = !outcome.result.has_value()
+                        && outcome.result.error().execution == Execution::MayHaveRun
+                        && outcome.result.error().reason != Reason::Cancelled;
+        if (report == LoadReport::Present)
+            end.load = outcome.load;
+        noteEnded(choices_[call.service], attempt.nodeId, end, kernel_.clock().now());
+    }
+
+    void decide(Token token, const CallOutcome &outcome)
+    {
+        Routed &routed = routed_.at(token);
+        const Call &call = *routed.call;
+        if (!outcome.result.has_value() && outcome.result.error().execution != Execution::NotRun)
+            routed.mayHaveRun = true;
+        AttemptEnd end;
+        end.result = &outcome.result;
+        end.failedBelow = outcome.failedBelow;
+        end.hasOtherTarget = !membersOf(call.service, routed.tried).empty();
+        const bool shouldRetry
+                = takeRetry(call, end, routed.left, budgets_[call.service], kernel_.clock().now());
+        if (!shouldRetry) {
+            finish(token, outcome.result, outcome.failedBelow);
+            return;
+        }
+        tryNext(token,
+                outcome.result.has_value() ? notRun(Reason::NoTarget) : outcome.result.error());
+    }
+
+    void handleLost(const PeerLost &lost)
+    {
+        std::vector<Token> affected;
+        for (const auto &[token, attempt] : attempts_) {
+            if (!attempt.isLocal && attempt.peer == lost.peer
+                && attempt.linkClass == lost.linkClass)
+                affected.push_back(token);
+        }
+        for (const Token token : affected)
+            endWithVerdict(token,
+                           mayHaveRun(Reason::LinkLost, "the link to the target's node broke"));
+    }
+
+    /// Withdraws the attempt that is out. Its outcome, if it comes, no longer matters.
+    void abandonAttempt(Routed &routed)
+    {
+        const auto found = attempts_.find(routed.attempt);
+        if (found == attempts_.end())
+            return;
+        const Attempt attempt = std::move(found->second);
+        attempts_.erase(found);
+        const Token token = std::exchange(routed.attempt, 0);
+        CallOutcome lost;
+        lost.result = mayHaveRun(Reason::Cancelled);
+        observe(*routed.call, attempt, lost, LoadReport::Absent);
+        if (attempt.isLocal) {
+            kernel_.bus().post(CancelCall{token});
+            return;
+        }
+        SendToPeer frame{attempt.peer, attempt.linkClass, Topic::Cancel, nullptr};
+        frame.payload = makeBody(encodeCancel(token));
+        kernel_.bus().post(std::move(frame));
+    }
+
+    void expire(Token token) { abandon(token, Reason::DeadlineExceeded); }
+
+    void cancel(Token token)
+    {
+        if (routed_.count(token) != 0)
+            abandon(token, Reason::Cancelled);
+    }
+
+    void abandon(Token token, Reason reason)
+    {
+        Routed &routed = routed_.at(token);
+        const bool isOut = routed.attempt != 0;
+        abandonAttempt(routed);
+        finish(token, isOut ? mayHaveRun(reason) : notRun(reason));
+    }
+
+    void finish(Token token, Judged<Answer> result, bool failedBelow = false)
+    {
+        const auto found = routed_.find(token);
+        const Routed routed = std::move(found->second);
+        routed_.erase(found);
+        if (!result.has_value() && routed.mayHaveRun
+            && result.error().execution == Execution::NotRun)
+            result.error().execution = Execution::MayHaveRun;
+        CallRouted message;
+        message.token = token;
+        message.outcome.unspent = routed.left;
+        message.outcome.result = std::move(result);
+        message.outcome.failedBelow = failedBelow;
+        kernel_.bus().post(std::move(message));
+    }
+
+    void handleMembers(const MembersChanged &changed)
+    {
+        members_ = *changed.members;
+        for (auto &[service, state] : choices_) {
+            const auto usable = membersOf(service, {});
+            std::vector<Candidate> candidates;
+            for (const Member *member : usable)
+                candidates.push_back({member->nodeId});
+            retainTargets(state, candidates);
+        }
+    }
+
+    Kernel &kernel_;
+    const ChoicePlugin *choice_ = nullptr;
+    prometheus::Family<prometheus::Counter> &attemptsTotal_;
+    std::vector<Member> members_;
+    std::map<Token, Routed> routed_;
+    std::map<Token, Attempt> attempts_;
+    std::map<std::string, ChoiceState, std::less<>> choices_;
+    std::map<std::string, RetryBudget, std::less<>> budgets_;
+};
+
+const Registration<TaskPlugin> registration{TaskPlugin{
+        "router",
+        [](Kernel &kernel) -> std::unique_ptr<Task> {
+            return std::make_unique<RouterTask>(kernel);
+        },
+}};
+
+} // namespace
+
+} // namespace chive
--- /dev/null
+++ b/Services/Node/TargetSide.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <LibCatalogue/Catalogue.h>
+#include <LibCore/Clock.h>
+#include <LibHttp/HttpMessage.h>
+#include <LibKernel/EventLoop.h>
+#include <LibNode/Messages.h>
+#include <Node/LocalTarget.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace chive {
+
+class CallContexts;
+class HttpClient;
+class HttpExchange;
+class HttpServer;
+class Kernel;
+
+/// The endpoint that the target beside this node uses: it announces itself here and makes its own
+/// calls through here.
+class TargetSide
+{
+public:
+    TargetSide(Kernel &kernel, CallContexts &contexts, std::function<void()> changed);
+    ~TargetSide();
+    TargetSide(const TargetSide &) = delete;
+    TargetSide &operator=(const TargetSide &) = delete;
+
+    void start();
+
+    [[nodiscard]] bool isPresent() const { return client_ != nullptr; }
+    [[nodiscard]] bool isDraining() const { return announcement_.isDraining; }
+    [[nodiscard]] const std::string &service() const { return announcement_.service; }
+    [[nodiscard]] const Endpoint &endpoint() const { return announcement_.endpoint; }
+    [[nodiscard]] std::uint32_t slots() const { return announcement_.slots; }
+
+    /// The client of the target, or null while there is none.
+    [[nodiscard]] HttpClient *client() const { return client_.get(); }
+
+private:
+    /// A nested call on its way.
+    struct NestedCall
+    {
+        std::shared_ptr<HttpExchange> exchange;
+        std::shared_ptr<const Call> call;
+        std::string context; ///< Empty for a tree of its own.
+    };
+
+    void handleRequest(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange);
+    HttpResponse handleAnnouncement(const HttpRequest &request);
+    void beginNested(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange);
+    void finishNested(const CallRouted &routed);
+    void checkLease();
+    void setAnnouncement(const Announcement &announcement);
+
+    Kernel &kernel_;
+    CallContexts &contexts_;
+    std::function<void()> changed_;
+    std::shared_ptr<const Catalogue> catalogue_;
+    std::unique_ptr<HttpServer> server_;
+    std::unique_ptr<HttpClient> client_;
+    Announcement announcement_;
+    TimePoint announcedAt_;
+    Timer leaseTimer_;
+    std::map<Token, NestedCall> nested_;
+};
+
+} // namespace chive
--- /dev/null
+++ b/Services/Node/TargetTask.cpp
@@ -0,0 +1,348 @@
+#include <LibHttp/HttpClient.h>
+#include <LibKernel/Kernel.h>
+#include <LibNode/Inbound.h>
+#include <LibNode/Messages.h>
+#include <LibPolicy/Admission.h>
+#include <Node/CallContexts.h>
+#include <Node/CrashDetector.h>
+#include <Node/TargetSide.h>
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace chive {
+
+namespace {
+
+/// Expired work in the queue is answered within this time.
+constexpr Milliseconds queueInterval{5};
+
+/// Admits calls to the target beside this node, runs them there, and takes the target's own calls.
+class TargetTask final : public Task
+{
+public:
+    explicit TargetTask(Kernel &kernel)
+        : kernel_(kernel)
+        , admission_(Registry<AdmissionPlugin>::find(kernel.settings().admissionPolicy))
+        , side_(kernel, contexts_, [this] { handleTargetChanged(); })
+        , crashes_(kernel)
+        , quarantined_(std::make_shared<const std::vector<std::string>>())
+        , catalogue_(std::make_shared<const Catalogue>())
+    {
+        if (admission_ == nullptr)
+            LOG(FATAL) << "task=target error=\"no admission policy '"
+                       << kernel.settings().admissionPolicy << "'\"";
+        Bus &bus = kernel.bus();
+        bus.subscribe<RunCall>([this](const RunCall &message) { begin(message); });
+        bus.subscribe<CancelCall>([this](const CancelCall &message) { cancelWork(message.token); });
+        bus.subscribe<PermissionDecided>(
+                [this](const PermissionDecided &decided) { handlePermission(decided); });
+        bus.subscribe<QuarantineChanged>(
+                [this](const QuarantineChanged &changed) { quarantined_ = changed.fingerprints; });
+        bus.subscribe<CatalogueChanged>([this](const CatalogueChanged &changed) {
+            catalogue_ = changed.catalogue;
+            handleTargetChanged();
+        });
+        bus.subscribe<StopRequested>([this](const StopRequested &) { isStopping_ = true; });
+        kernel.addInFlight([this] { return work_.size(); });
+        kernel.addStatus("target", [this] { return report(); });
+    }
+
+    void start() override
+    {
+        side_.start();
+        tick_ = kernel_.loop().every(queueInterval, [this] { startWork(); });
+    }
+
+private:
+    enum class Stage {
+        AwaitingPermission,
+        Queued,
+        Running,
+    };
+
+    /// One call from RunCall to CallRan.
+    struct Work
+    {
+        std::shared_ptr<const Call> call;
+        Stage stage = Stage::Queued;
+        bool isGranted = false; ///< The once task waits for its end.
+        std::string context;
+        HttpClient::RequestId request = 0;
+        TimePoint startedAt;
+        Timer limit;
+    };
+
+    // ---- From RunCall to the target ------------------------------------------------------------
+
+    void begin(const RunCall &message)
+    {
+        const auto refusal = reasonToRefuse(*message.call);
+        if (refusal) {
+            answer(message.token, *refusal, message.call->allowance, false);
+            return;
+        }
+        Work work;
+        work.call = message.call;
+        work_.emplace(message.token, std::move(work));
+        admit(message.token);
+    }
+
+    [[nodiscard]] std::optional<Verdict> reasonToRefuse(const Call &call) const
+    {
+        if (isStopping_ || side_.isDraining())
+            return notRun(Reason::Leaving, "the target is draining");
+        if (!side_.isPresent() || side_.service() != call.service)
+            return notRun(Reason::NoTarget, "no target of '" + call.service + "' beside this node");
+        if (call.deadline <= kernel_.clock().now())
+            return notRun(Reason::DeadlineExceeded, "the deadline passed before the call began");
+        const auto &list = *quarantined_;
+        if (std::find(list.begin(), list.end(), call.fingerprint) != list.end())
+            return quarantineVerdict();
+        return std::nullopt;
+    }
+
+    static Verdict quarantineVerdict()
+    {
+        return notRun(Reason::Quarantined, "requests like this one were in flight at crashes");
+    }
+
+    void admit(Token token)
+    {
+        Work &work = work_.at(token);
+        const Call &call = *work.call;
+        const TimePoint now = kernel_.clock().now();
+        const OfferDecision decision = admission_->offer(
+                admissionState_, {call.importance, call.duration, call.deadline}, token, now);
+        for (const DroppedWork &dropped : decision.evicted)
+            end(dropped.token, dropped.verdict);
+        if (decision.admitted == Admitted::Refuse)
+            end(token, decision.verdict);
+        else if (decision.admitted == Admitted::Run)
+            startAdmitted(token);
+    }
+
+    void startWork()
+    {
+        if (admissionState_.queue.empty())
+            return;
+        const StartDecision decision
+                = admission_->startNext(admissionState_, kernel_.clock().now());
+        for (const DroppedWork &dropped : decision.expired)
+            end(dropped.token, dropped.verdict);
+        for (const WorkToken token : decision.started)
+            startAdmitted(token);
+    }
+
+    /// The call holds a slot from here on.
+    void startAdmitted(Token token)
+    {
+        Work &work = work_.at(token);
+        if (work.call->repetition != Repetition::AtMostOnce) {
+            run(token);
+            return;
+        }
+        work.stage = Stage::AwaitingPermission;
+        const Call &call = *work.call;
+        kernel_.bus().post(
+                AskPermission{token, call.service, call.key, call.fingerprint, call.deadline});
+    }
+
+    void handlePermission(const PermissionDecided &decided)
+    {
+        const auto found = work_.find(decided.token);
+        if (found == work_.end()) {
+            if (decided.isGranted)
+                kernel_.bus().post(GrantedCallEnded{decided.token, notRun(Reason::Cancelled)});
+            return;
+        }
+        if (!decided.isGranted) {
+            end(decided.token, decided.otherwise);
+            return;
+        }
+        found->second.isGranted = true;
+        const auto refusal = reasonToRefuse(*found->second.call);
+        if (refusal && refusal->reason != Reason::Leaving) {
+            end(decided.token, *refusal);
+            return;
+        }
+        run(decided.token);
+    }
+
+    void run(Token token)
+    {
+        Work &work = work_.at(token);
+        HttpClient *client = side_.client();
+        if (client == nullptr) {
+            end(token, notRun(Reason::NoTarget, "the target is gone"));
+            return;
+        }
+        work.stage = Stage::Running;
+        work.startedAt = kernel_.clock().now();
+        work.context = contexts_.open(work.call);
+        const auto left = std::chrono::ceil<Milliseconds>(work.call->deadline - work.startedAt);
+        const HttpRequest request = requestForTarget(*work.call, work.context, work.startedAt);
+        crashes_.noteStarted(work.call->fingerprint);
+        work.request = client->send(request, std::max(left, Milliseconds(1)),
+                                    [this, token](HttpClient::Outcome outcome) {
+                                        handleResponse(token, std::move(outcome));
+                                    });
+        work.limit = kernel_.loop().after(left, [this, token] { expire(token); });
+    }
+
+    // ---- From the target to CallRan ------------------------------------------------------------
+
+    void handleResponse(Token token, HttpClient::Outcome outcome)
+    {
+        const auto found = work_.find(token);
+        if (found == work_.end())
+            return;
+        const Work &work = found->second;
+        crashes_.noteEnded(work.call->fingerprint);
+        if (outcome.has_value()) {
+            HttpResponse &response = outcome.value();
+            end(token, Answer{response.status, std::move(response.headers), response.body});
+            return;
+        }
+        const HttpFailure &failure = outcome.error();
+        switch (failure.stage) {
+        case HttpFailure::Stage::NotSent:
+            end(token, notRun(Reason::TargetUnreachable, failure.message));
+            return;
+        case HttpFailure::Stage::Sent:
+            crashes_.noteBroken(work.call->fingerprint, side_.endpoint());
+            end(token, mayHaveRun(Reason::TargetFailed, failure.message));
+            return;
+        case HttpFailure::Stage::Incomplete:
+            end(token, mayHaveRun(Reason::IncompleteAnswer, failure.message));
+            return;
+        }
+    }
+
+    void expire(Token token)
+    {
+        withdraw(token, mayHaveRun(Reason::DeadlineExceeded, "the target did not answer in time"));
+    }
+
+    /// The caller no longer wants the answer.
+    void cancelWork(Token token)
+    {
+        const auto found = work_.find(token);
+        if (found == work_.end())
+            return;
+        if (found->second.stage == Stage::Running)
+            withdraw(token, mayHaveRun(Reason::Cancelled));
+        else
+            end(token, notRun(Reason::Cancelled));
+    }
+
+    /// Ends running work without waiting for the target; closing the connection cancels it there.
+    void withdraw(Token token, const Verdict &verdict)
+    {
+        const Work &work = work_.at(token);
+        const HttpClient::RequestId request = work.request;
+        crashes_.noteEnded(work.call->fingerprint);
+        end(token, verdict);
+        if (HttpClient *client = side_.client())
+            client->cancel(request);
+    }
+
+    void end(Token token, Judged<Answer> result)
+    {
+        const auto found = work_.find(token);
+        if (found == work_.end())
+            return;
+        const Work work = std::move(found->second);
+        work_.erase(found);
+        leaveAdmission(token, work, result);
+        if (work.isGranted)
+            kernel_.bus().post(GrantedCallEnded{token, result});
+        ContextEnd context{work.call->allowance, false};
+        if (work.stage == Stage::Running)
+            context = contexts_.close(work.context);
+        answer(token, std::move(result), context.unspent, context.failedBelow);
+        startWork();
+    }
+
+    void leaveAdmission(Token token, const Work &work, const Judged<Answer> &result)
+    {
+        if (work.stage != Stage::Running || !result.has_value()) {
+            chive::cancel(admissionState_, token);
+            return;
+        }
+        const TimePoint now = kernel_.clock().now();
+        WorkEnd end;
+        end.latency = std::chrono::duration_cast<Microseconds>(now - work.startedAt);
+        constexpr int serviceUnavailable = 503;
+        end.wasOverloaded = result.value().status == serviceUnavailable;
+        finished(admissionState_, token, end, now);
+    }
+
+    void answer(Token token, Judged<Answer> result, const Allowance &unspent, bool failedBelow)
+    {
+        CallRan ran;
+        ran.token = token;
+        ran.outcome.result = std::move(result);
+        ran.outcome.unspent = unspent;
+        ran.outcome.failedBelow = failedBelow;
+        ran.outcome.load = loadOf(admissionState_, kernel_.clock().now());
+        kernel_.bus().post(std::move(ran));
+    }
+
+    // ---- The target's size ---------------------------------------------------------------------
+
+    void handleTargetChanged()
+    {
+        AdmissionSettings settings;
+        settings.slots = std::max<std::uint32_t>(side_.slots(), 1);
+        const Service *service = findService(*catalogue_, side_.service());
+        if (service != nullptr)
+            settings.longSharePercent = service->longShare;
+        resize(admissionState_, settings);
+    }
+
+    [[nodiscard]] nlohmann::json report() const
+    {
+        const TargetLoad load = loadOf(admissionState_, kernel_.clock().now());
+        return {
+                {"service", side_.service()},
+                {"present", side_.isPresent()},
+                {"draining", isStopping_ || side_.isDraining()},
+                {"slots", side_.slots()},
+                {"limit", load.limit},
+                {"in_flight", load.inFlight},
+                {"queued", load.queued},
+                {"admitted", nameOf(static_cast<Importance>(load.admitted))},
+        };
+    }
+
+    Kernel &kernel_;
+    const AdmissionPlugin *admission_ = nullptr;
+    CallContexts contexts_;
+    TargetSide side_;
+    CrashDetector crashes_;
+    std::shared_ptr<const std::vector<std::string>> quarantined_;
+    std::shared_ptr<const Catalogue> catalogue_;
+    AdmissionState admissionState_ = makeAdmissionState({});
+    std::map<Token, Work> work_;
+    Timer tick_;
+    bool isStopping_ = false;
+};
+
+const Registration<TaskPlugin> registration{TaskPlugin{
+        "target",
+        [](Kernel &kernel) -> std::unique_ptr<Task> {
+            return std::make_unique<TargetTask>(kernel);
+        },
+}};
+
+} // namespace
+
+} // namespace chive
