--- a/Libraries/LibLink/WebSocketSession.cpp
+++ b/Libraries/LibLink/WebSocketSession.cpp
@@ -24,6 +24,7 @@
     using alog_type = websocketpp::log::basic<concurrency_type, websocketpp::log::alevel>;
     using elog_type = websocketpp::log::basic<concurrency_type, websocketpp::log::elevel>;
 
+    // NOLINTNEXTLINE(readability-identifier-naming): the library looks it up by this name.
     struct transport_config : Base::transport_config
     {
         using concurrency_type = typename Unlocked::concurrency_type;
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -17,6 +17,8 @@
     std::string ip;
     std::uint16_t port = 0;
 
+    // clang-tidy 14 takes the comparison with 0 that the compiler generates for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const Endpoint &) const = default;
 };
 
--- a/Services/Node/LinkFrame.h
+++ b/Services/Node/LinkFrame.h
@@ -20,6 +20,8 @@
     Endpoint peer;
     LinkClass linkClass = LinkClass::Control;
 
+    // clang-tidy 14 takes the comparison with 0 that the compiler generates for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const LinkKey &) const = default;
 };
 
