LogTask: Let a follower set the pace of its stream

At 890 nodes only a few per data centre read the release notes often; the others are told by peers and read rarely. follow() could only make reads more frequent.

--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -194,6 +194,13 @@
     Milliseconds interval{250}; ///< Between two reads when nothing new came.
 };
 
+/// To the log task: read a followed stream at this pace from now on.
+struct PaceStream
+{
+    std::string stream;
+    Milliseconds interval{250}; ///< Between two reads when nothing new came.
+};
+
 /// From the log task, after each successful read, also when nothing new came.
 struct LogRead
 {
--- a/Services/Node/LogTask.cpp
+++ b/Services/Node/LogTask.cpp
@@ -60,6 +60,11 @@
                 [this](const AppendToLog &message) { append(message); });
         kernel.bus().subscribe<FollowStream>(
                 [this](const FollowStream &message) { follow(message); });
+        kernel.bus().subscribe<PaceStream>([this](const PaceStream &message) {
+            const auto poller = pollers_.find(message.stream);
+            if (poller != pollers_.end())
+                poller->second->setInterval(message.interval);
+        });
         kernel.addStatus("log", [this] { return status(); });
     }
 
--- a/Services/Node/StreamPoller.cpp
+++ b/Services/Node/StreamPoller.cpp
@@ -37,6 +37,14 @@
     readAfter(Milliseconds(0));
 }
 
+void StreamPoller::setInterval(Milliseconds interval)
+{
+    const bool isFaster = interval < interval_;
+    interval_ = interval;
+    if (isFaster)
+        readNow();
+}
+
 void StreamPoller::readNow()
 {
     if (!reads_.empty())
--- a/Services/Node/StreamPoller.h
+++ b/Services/Node/StreamPoller.h
@@ -29,6 +29,9 @@
     /// Starts, or goes back to a smaller offset or a shorter interval for one more follower.
     void follow(std::uint64_t from, Milliseconds interval);
 
+    /// Reads at this pace from now on; a faster pace begins with a read at once.
+    void setInterval(Milliseconds interval);
+
     /// Reads at once: something new is known to be there, or may be.
     void readNow();
 
