--- a/Libraries/LibNotes/NotesFold.cpp
+++ b/Libraries/LibNotes/NotesFold.cpp
@@ -37,6 +37,11 @@
     return true;
 }
 
+void NotesFold::confirm(std::uint64_t nextOffset)
+{
+    isUsable_ = isUsable_ || nextOffset <= state_.nextOffset;
+}
+
 void NotesFold::takeSnapshot(std::uint64_t offset, std::string_view payload)
 {
     const Result<NotesRecord> record = decodeNotesRecord(payload);
--- a/Libraries/LibNotes/NotesFold.h
+++ b/Libraries/LibNotes/NotesFold.h
@@ -32,6 +32,9 @@
     /// Takes the state that a peer has in force; true when it moved this node forward.
     bool merge(const NotesState &state);
 
+    /// A peer has in force what lies below this offset; when the own state holds it, it is usable.
+    void confirm(std::uint64_t nextOffset);
+
     [[nodiscard]] const NotesState &state() const { return state_; }
 
     /// Whether records between the state and the oldest retained record are lost to this node, so
