--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 struct event;
 struct evhttp;
@@ -21,7 +22,8 @@
 class HttpExchange
 {
 public:
-    explicit HttpExchange(evhttp_request *request);
+    /// `closesAfter` is shared with the server and read when the response is sent.
+    HttpExchange(evhttp_request *request, std::shared_ptr<const bool> closesAfter);
     ~HttpExchange();
     HttpExchange(const HttpExchange &) = delete;
     HttpExchange &operator=(const HttpExchange &) = delete;
@@ -29,6 +31,13 @@
     /// Sends the whole response. Only the first call counts; none is sent to a peer that is gone.
     void respond(const HttpResponse &response);
 
+    /// Writes bytes to the connection as they are, ahead of any response. Short writes are not
+    /// repeated.
+    void writeRaw(std::string_view bytes);
+
+    /// Closes the connection without a response.
+    void abandon();
+
     /// Calls back once if the peer closes its connection before the response was sent.
     void onPeerGone(std::function<void()> callback) { peerGone_ = std::move(callback); }
 
@@ -36,6 +45,7 @@
     void handleClosed();
 
     evhttp_request *request_ = nullptr;
+    std::shared_ptr<const bool> closesAfter_;
     event *closed_ = nullptr;
     std::function<void()> peerGone_;
 };
@@ -57,11 +67,15 @@
     /// Accepts no more connections; those that are open go on.
     void stopAccepting();
 
+    /// From now on, closes each connection after the response that it gets next.
+    void closeAfterResponses();
+
 private:
     HttpServer(evhttp *server, Handler handler);
 
     evhttp *server_ = nullptr;
     evhttp_bound_socket *socket_ = nullptr;
+    std::shared_ptr<bool> closesAfter_ = std::make_shared<bool>(false);
     Handler handler_;
 };
 
