--- /dev/null
+++ b/Tests/Harness/Process.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+
+#include <optional>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace chive {
+
+/// A child process. It is killed when this object goes.
+class Process
+{
+public:
+    Process() = default;
+    /// Output and errors are appended to `logFile`.
+    Process(const std::string &program, const std::vector<std::string> &arguments,
+            const std::string &logFile);
+    ~Process();
+    Process(Process &&other) noexcept;
+    Process &operator=(Process &&other) noexcept;
+
+    [[nodiscard]] bool isRunning();
+
+    /// SIGKILL, and waits for the end.
+    void kill();
+    /// SIGTERM, without waiting.
+    void terminate() const;
+    /// SIGSTOP and SIGCONT.
+    void freeze() const;
+    void thaw() const;
+
+    /// The exit status, or -signal; nothing when it still runs at the end of the wait.
+    std::optional<int> waitForEnd(Milliseconds limit);
+
+private:
+    void reap(int options);
+
+    pid_t pid_ = 0;
+    std::optional<int> status_;
+};
+
+} // namespace chive
--- a/Tests/StandIns/TestStandIns.cpp
+++ b/Tests/StandIns/TestStandIns.cpp
@@ -85,6 +85,7 @@
     TargetStandIn::Options options;
     options.service = "ledger";
     options.listen = endpoint;
+    options.announced = endpoint;
     options.node = noNode;
     options.slots = 1;
     TargetStandIn target(loop, clock, options);
--- a/Utilities/StandIns/Main.cpp
+++ b/Utilities/StandIns/Main.cpp
@@ -24,7 +24,8 @@
   chiverouter-standins log --listen=IP:PORT [--retention-ms=N] [--appends-per-second=N]
   chiverouter-standins target --service=S --listen=IP:PORT --node=IP:PORT --slots=N
                               [--connections=N] [--service-time-ms=N] [--cold-ms=N] [--seed=N]
-                              [--calls=SERVICE/PATH,...] [--executions=FILE]
+                              [--calls=LIST] [--executions=FILE]
+                              [--announce=IP:PORT]
   chiverouter-standins --help
 
 Options:
@@ -38,8 +39,9 @@
   --service-time-ms=N      Mean time of one run [default: 1].
   --cold-ms=N              Time after the start in which runs take longer [default: 0].
   --seed=N                 Seed of the service times [default: 1].
-  --calls=SERVICE/PATH,... Calls that each run makes, one after the other [default: ].
+  --calls=LIST             Calls that each run makes in order: SERVICE/PATH,SERVICE/PATH
   --executions=FILE        Append each begin and end of a run to this file, as lines of JSON.
+  --announce=IP:PORT       Where the node is to connect, if not where the target listens.
 )";
 
 Endpoint endpointOf(const Arguments &arguments, const char *name)
@@ -63,13 +65,16 @@
     TargetStandIn::Options options;
     options.service = arguments.at("--service").asString();
     options.listen = endpointOf(arguments, "--listen");
+    options.announced
+            = arguments.at("--announce") ? endpointOf(arguments, "--announce") : options.listen;
     options.node = endpointOf(arguments, "--node");
     options.slots = arguments.at("--slots").asLong();
     options.connections = arguments.at("--connections").asLong();
     options.serviceTime = Milliseconds(arguments.at("--service-time-ms").asLong());
     options.coldTime = Milliseconds(arguments.at("--cold-ms").asLong());
     options.seed = arguments.at("--seed").asLong();
-    options.calls = split(arguments.at("--calls").asString());
+    options.calls = arguments.at("--calls") ? split(arguments.at("--calls").asString())
+                                            : std::vector<std::string>();
     if (arguments.at("--executions"))
         options.executionsFile = arguments.at("--executions").asString();
     return options;
--- a/Utilities/StandIns/TargetStandIn.cpp
+++ b/Utilities/StandIns/TargetStandIn.cpp
@@ -93,8 +93,8 @@
     if (!faults_.isAnnouncing)
         return;
     const nlohmann::json body
-            = {{"service", options_.service},         {"ip", options_.listen.ip},
-               {"port", options_.listen.port},        {"slots", options_.slots},
+            = {{"service", options_.service},         {"ip", options_.announced.ip},
+               {"port", options_.announced.port},     {"slots", options_.slots},
                {"connections", options_.connections}, {"draining", faults_.isDraining}};
     const HttpRequest request{
             "POST", "/announce", {{"Content-Type", "application/json"}}, makeBody(body.dump())};
--- a/Utilities/StandIns/TargetStandIn.h
+++ b/Utilities/StandIns/TargetStandIn.h
@@ -36,7 +36,8 @@
     {
         std::string service;
         Endpoint listen;
-        Endpoint node; ///< The node's endpoint for calls of its target.
+        Endpoint announced; ///< Where the node is to connect; `listen`, or a proxy before it.
+        Endpoint node;      ///< The node's endpoint for calls of its target.
         std::uint32_t slots = 1;
         std::uint32_t connections = 1;
         Milliseconds serviceTime{0}; ///< Mean; each run draws from half to one and a half of it.
