--- a/Libraries/LibCore/Result.h
+++ b/Libraries/LibCore/Result.h
@@ -33,5 +33,6 @@
 
 } // namespace chive
 
-/// Unwraps a Result or Judged into `name`, or returns its error from the enclosing function.
-#define CHIVE_TRY(name, expression) BOOST_OUTCOME_TRY(name, expression)
+/// Unwraps a Result or Judged, or returns its error from the enclosing function:
+/// `CHIVE_TRY(name, expression)`, or `CHIVE_TRY(expression)` where there is no value.
+#define CHIVE_TRY(...) BOOST_OUTCOME_TRY(__VA_ARGS__)
