LibHttp: Never take a response sent twice for the next request's

A server that sends its response twice on a kept connection made the client give the second copy to whoever sent the next request: another caller's answer. Checking the connection for surplus bytes before reuse was not enough (still failed): the second copy can come after the next request has left. Connections now also rest 2 to 4 ms before they are used again. A copy that comes later than that, while another request is out on the same connection, can not be told from its answer in HTTP/1.1. The same look at the socket finds connections that the server has closed, which failed as "may have run".

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -8,7 +8,11 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
 
+#include <algorithm>
+#include <cerrno>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -18,6 +22,10 @@
 
 constexpr std::size_t maximumIdleConnections = 256;
 
+/// A connection is used again only after it rested between one and two of these, so that a response
+/// that the server sends twice shows itself before it could pass for the answer to another request.
+constexpr Milliseconds restInterval{2};
+
 std::optional<evhttp_cmd_type> commandOf(std::string_view method)
 {
     static constexpr std::pair<std::string_view, evhttp_cmd_type> commands[] = {
@@ -72,6 +80,19 @@
         evbuffer_add_cb(output, count, this);
     }
     ~Connection() { evhttp_connection_free(handle); }
+
+    /// Whether the connection is open and holds no byte. Bytes that nobody asked for, such as a
+    /// response sent twice, would be taken for the answer to the next request; and a request on a
+    /// connection that the server has closed fails without a word on whether it ran.
+    [[nodiscard]] bool isQuiet() const
+    {
+        bufferevent *buffer = evhttp_connection_get_bufferevent(handle);
+        if (evbuffer_get_length(bufferevent_get_input(buffer)) != 0)
+            return false;
+        char byte = 0;
+        const ssize_t size = recv(bufferevent_getfd(buffer), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
 };
@@ -123,13 +144,16 @@
 
 std::unique_ptr<HttpClient::Connection> HttpClient::takeConnection()
 {
-    if (idle_.empty())
-        return std::make_unique<Connection>(loop_, server_, maximumBodySize_);
     // The most recently used connection is the least likely to have been closed by the server.
-    auto connection = std::move(idle_.back());
-    idle_.pop_back();
-    connection->bytesSent = 0;
-    return connection;
+    while (!idle_.empty()) {
+        auto connection = std::move(idle_.back());
+        idle_.pop_back();
+        if (!connection->isQuiet())
+            continue;
+        connection->bytesSent = 0;
+        return connection;
+    }
+    return std::make_unique<Connection>(loop_, server_, maximumBodySize_);
 }
 
 HttpClient::RequestId HttpClient::send(const HttpRequest &request, Milliseconds timeout,
@@ -189,6 +213,21 @@
         found->second->fail("cancelled");
 }
 
+void HttpClient::rest(std::unique_ptr<Connection> connection)
+{
+    resting_.push_back(std::move(connection));
+    if (!restTimer_.isActive())
+        restTimer_ = loop_.every(restInterval, [this] { endRest(); });
+}
+
+void HttpClient::endRest()
+{
+    std::move(rested_.begin(), rested_.end(), std::back_inserter(idle_));
+    rested_ = std::exchange(resting_, {});
+    if (rested_.empty())
+        restTimer_.cancel();
+}
+
 void HttpClient::finish(RequestId id, Outcome outcome, bool isReusable)
 {
     const auto found = active_.find(id);
@@ -197,7 +236,7 @@
     std::shared_ptr<Active> active = std::move(found->second);
     active_.erase(found);
     if (isReusable && idle_.size() < maximumIdleConnections)
-        idle_.push_back(std::move(active->connection));
+        rest(std::move(active->connection));
     // evhttp must not lose its connection, nor be called again, inside its own callback.
     loop_.post([active = std::move(active), outcome = std::move(outcome)]() mutable {
         active->connection.reset();
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -3,6 +3,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/Result.h>
 #include <LibHttp/HttpMessage.h>
+#include <LibKernel/EventLoop.h>
 #include <LibSettings/Settings.h>
 
 #include <cstddef>
@@ -17,8 +18,6 @@
 
 namespace chive {
 
-class EventLoop;
-
 /// Why an HTTP request got no whole response.
 struct HttpFailure
 {
@@ -59,6 +58,8 @@
     struct Active;
 
     std::unique_ptr<Connection> takeConnection();
+    void rest(std::unique_ptr<Connection> connection);
+    void endRest();
     void finish(RequestId id, Outcome outcome, bool isReusable);
 
     EventLoop &loop_;
@@ -67,6 +68,9 @@
     RequestId nextId_ = 1;
     std::map<RequestId, std::unique_ptr<Active>> active_;
     std::vector<std::unique_ptr<Connection>> idle_;
+    std::vector<std::unique_ptr<Connection>> rested_;  ///< For at least one interval.
+    std::vector<std::unique_ptr<Connection>> resting_; ///< For less than one interval.
+    Timer restTimer_;
 };
 
 } // namespace chive
--- a/Tests/LibHttp/TestHttp.cpp
+++ b/Tests/LibHttp/TestHttp.cpp
@@ -176,3 +176,24 @@
     REQUIRE_FALSE(outcome.has_value());
     CHECK(outcome.error().stage != HttpFailure::Stage::NotSent);
 }
+
+TEST_CASE("A response that comes twice is never taken for the answer to the next request")
+{
+    EventLoop loop;
+    const auto repeatFirst = [](const HttpRequest &request, const auto &exchange) {
+        if (request.target == "/first")
+            exchange->writeRaw("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n/first");
+        exchange->respond({200, {}, makeBody(request.target)});
+    };
+    auto server = HttpServer::listen(loop, endpoint, bodyLimit, repeatFirst);
+    REQUIRE(server.has_value());
+    HttpClient client(loop, endpoint, bodyLimit);
+    for (int round = 0; round < 20; ++round) {
+        const auto first = exchange(loop, client, {"GET", "/first", {}, nullptr});
+        REQUIRE(first.has_value());
+        CHECK(bytesOf(first.value().body) == "/first");
+        const auto second = exchange(loop, client, {"GET", "/second", {}, nullptr});
+        REQUIRE(second.has_value());
+        CHECK(bytesOf(second.value().body) == "/second");
+    }
+}
