--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -68,6 +68,7 @@
     Notes = 5,
     Once = 6,
     Quarantine = 7,
+    Status = 8,
 };
 
 /// Each class has connections of its own, so that short work and control never wait behind a long
@@ -158,6 +159,21 @@
 struct Drained
 {};
 
+// ---- Status reports ----------------------------------------------------------------------------
+
+/// Status task to mesh status task: ask every member for its report.
+struct CollectMeshStatus
+{
+    Token token = 0;
+};
+
+/// The answer: the members' reports as JSON text.
+struct MeshStatusCollected
+{
+    Token token = 0;
+    std::shared_ptr<const std::string> json;
+};
+
 // ---- Release notes -----------------------------------------------------------------------------
 
 /// From the notes task: this catalogue is in force from now on.
--- a/Libraries/LibNotes/NotesCodec.cpp
+++ b/Libraries/LibNotes/NotesCodec.cpp
@@ -1,6 +1,7 @@
 #include <LibNotes/NotesCodec.h>
 
-#include <LibNotes/JsonFields.h>
+#include <LibCore/Cbor.h>
+#include <LibCore/JsonFields.h>
 
 #include <utility>
 #include <vector>
@@ -111,16 +112,6 @@
            && (isEmpty || state.catalogue.offset < state.nextOffset);
 }
 
-/// The decoded bytes, or null. The library throws on absurd sizes even when told not to.
-json parseCbor(std::string_view bytes)
-{
-    try {
-        return json::from_cbor(bytes, true, false);
-    } catch (const json::exception &) {
-        return nullptr;
-    }
-}
-
 } // namespace
 
 json encodeState(const NotesState &state)
--- a/Libraries/LibNotes/NotesRecord.cpp
+++ b/Libraries/LibNotes/NotesRecord.cpp
@@ -1,6 +1,6 @@
 #include <LibNotes/NotesRecord.h>
 
-#include <LibNotes/JsonFields.h>
+#include <LibCore/JsonFields.h>
 #include <LibNotes/NotesCodec.h>
 
 namespace chive {
--- a/Services/Node/StatusTask.cpp
+++ b/Services/Node/StatusTask.cpp
@@ -1,31 +1,45 @@
 #include <LibHttp/HttpServer.h>
 #include <LibKernel/Kernel.h>
+#include <LibNode/Messages.h>
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <map>
+#include <memory>
+
 namespace chive {
 
 namespace {
 
 constexpr std::size_t maximumAdminBody = 64 * 1024;
+const Header jsonType{"Content-Type", "application/json"};
 
-/// Serves `/metrics` (Prometheus text format), `/status` (JSON) and `/healthz` on the admin
-/// endpoint.
+/// Serves `/metrics` (Prometheus text format), `/status` and `/mesh` (JSON) and `/healthz` on the
+/// admin endpoint.
 class StatusTask final : public Task
 {
 public:
     explicit StatusTask(Kernel &kernel)
         : kernel_(kernel)
-    {}
+    {
+        kernel.bus().subscribe<MeshStatusCollected>([this](const MeshStatusCollected &collected) {
+            const auto waiting = waiting_.extract(collected.token);
+            if (!waiting.empty())
+                waiting.mapped()->respond({200, {jsonType}, collected.json});
+        });
+    }
 
     void start() override
     {
         auto server = HttpServer::listen(kernel_.loop(), kernel_.settings().admin, maximumAdminBody,
                                          [this](const HttpRequest &request, const auto &exchange) {
-                                             exchange->respond(answer(request));
+                                             if (request.target == "/mesh")
+                                                 collectMesh(exchange);
+                                             else
+                                                 exchange->respond(answer(request));
                                          });
         if (!server.has_value())
             LOG(FATAL) << "task=status error=\"" << server.error().message << '"';
@@ -33,6 +47,13 @@
     }
 
 private:
+    void collectMesh(const std::shared_ptr<HttpExchange> &exchange)
+    {
+        const Token token = nextToken();
+        waiting_.emplace(token, exchange);
+        kernel_.bus().post(CollectMeshStatus{token});
+    }
+
     HttpResponse answer(const HttpRequest &request)
     {
         if (request.target == "/metrics") {
@@ -49,10 +70,14 @@
 
     static HttpResponse json(int status, const nlohmann::json &body)
     {
-        return {status, {{"Content-Type", "application/json"}}, makeBody(body.dump(2))};
+        // Texts of callers and peers may hold bytes that are not UTF-8.
+        return {status,
+                {jsonType},
+                makeBody(body.dump(2, ' ', false, nlohmann::json::error_handler_t::replace))};
     }
 
     Kernel &kernel_;
+    std::map<Token, std::shared_ptr<HttpExchange>> waiting_; ///< Requests for /mesh.
     std::unique_ptr<HttpServer> server_;
 };
 
