--- a/Services/Node/MembershipTask.cpp
+++ b/Services/Node/MembershipTask.cpp
@@ -24,13 +24,6 @@
 /// A member whose latest probe took longer is reported as late.
 constexpr Milliseconds lateAfter{250};
 
-/// AppendedToLog reaches every task; tokens are told apart by a random start.
-Token randomToken()
-{
-    std::random_device device;
-    return (static_cast<Token>(device()) << 32) | device();
-}
-
 std::string_view nameOf(MemberState state)
 {
     switch (state) {
@@ -68,7 +61,7 @@
         : kernel_(kernel)
         , membership_(memberOf(kernel.settings(), kernel.clock().wallNow()), MembershipTiming{},
                       std::random_device{}(), kernel.clock().now())
-        , announceToken_(randomToken())
+        , announceToken_(nextToken())
     {
         defineMetrics();
         subscribe();
