Node: Keep the router's knowledge of targets in TargetChooser, shed at the entry

Cause: the router neither refused what every target would refuse, nor knew the latency of the next attempt, and a deadline that passed counted as a failure of the target.

Change: the policy state of each service moves from RouterTask into TargetChooser. Only failures of the target or the way to it leave it out for a moment. A verdict after a retry says so, so that no hop above repeats it.

--- a/Services/Node/RouterTask.cpp
+++ b/Services/Node/RouterTask.cpp
@@ -3,6 +3,7 @@
 #include <LibNode/Messages.h>
 #include <LibPolicy/Choice.h>
 #include <LibPolicy/Retry.h>
+#include <Node/TargetChooser.h>
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
@@ -24,6 +25,23 @@
 /// whether the call began.
 constexpr Milliseconds verdictGrace{50};
 
+constexpr Milliseconds shedRetryAfter{500};
+
+Verdict shedVerdict()
+{
+    Verdict verdict = notRun(Reason::Overloaded, "every target of the service is at its limit");
+    verdict.retryAfter = shedRetryAfter;
+    return verdict;
+}
+
+const ChoicePlugin &choicePlugin(std::string_view name)
+{
+    const ChoicePlugin *plugin = Registry<ChoicePlugin>::find(name);
+    if (plugin == nullptr)
+        LOG(FATAL) << "task=router error=\"no choice policy '" << name << "'\"";
+    return *plugin;
+}
+
 /// Moves the larger part of what is left to an attempt. The rest allows another attempt when the
 /// answer of this one is lost, which counts all that it held as spent.
 Allowance lendToAttempt(Allowance &left)
@@ -40,15 +58,12 @@
 public:
     explicit RouterTask(Kernel &kernel)
         : kernel_(kernel)
-        , choice_(Registry<ChoicePlugin>::find(kernel.settings().choicePolicy))
+        , chooser_(choicePlugin(kernel.settings().choicePolicy), kernel.settings().dataCentre)
         , attemptsTotal_(prometheus::BuildCounter()
                                  .Name("chiverouter_attempts_total")
                                  .Help("Attempts to run a call, by service and order.")
                                  .Register(kernel.metrics()))
     {
-        if (choice_ == nullptr)
-            LOG(FATAL) << "task=router error=\"no choice policy '" << kernel.settings().choicePolicy
-                       << "'\"";
         Bus &bus = kernel.bus();
         bus.subscribe<RouteCall>([this](const RouteCall &message) { begin(message); });
         bus.subscribe<CancelCall>([this](const CancelCall &message) { cancel(message.token); });
@@ -64,7 +79,7 @@
         });
         bus.subscribe<PeerLost>([this](const PeerLost &lost) { handleLost(lost); });
         bus.subscribe<MembersChanged>(
-                [this](const MembersChanged &changed) { handleMembers(changed); });
+                [this](const MembersChanged &changed) { chooser_.setMembers(*changed.members); });
         kernel.addInFlight([this] { return routed_.size(); });
         kernel.addStatus("router", [this] {
             return nlohmann::json{{"calls", routed_.size()}, {"attempts", attempts_.size()}};
@@ -108,43 +123,19 @@
         routed.limit = kernel_.loop().after(std::max(left, Milliseconds(0)) + verdictGrace,
                                             [this, token] { expire(token); });
         routed_.emplace(token, std::move(routed));
-        noteFirstAttempt(budgets_[message.call->service], now);
+        if (chooser_.shouldShed(*message.call, now)) {
+            finish(token, shedVerdict());
+            return;
+        }
         tryNext(token, notRun(Reason::NoTarget,
                               "no live target of '" + message.call->service + "' is known"));
     }
 
-    [[nodiscard]] std::vector<const Member *> membersOf(const std::string &service,
-                                                        const std::set<std::string> &tried) const
-    {
-        std::vector<const Member *> found;
-        for (const Member &member : members_) {
-            const bool isUsable
-                    = member.state == MemberState::Alive || member.state == MemberState::Suspect;
-            if (isUsable && member.service == service && tried.count(member.nodeId) == 0)
-                found.push_back(&member);
-        }
-        return found;
-    }
-
-    [[nodiscard]] const Member *choose(const Call &call, const std::set<std::string> &tried)
-    {
-        const auto members = membersOf(call.service, tried);
-        std::vector<Candidate> candidates;
-        candidates.reserve(members.size());
-        for (const Member *member : members)
-            candidates.push_back({member->nodeId,
-                                  member->dataCentre == kernel_.settings().dataCentre,
-                                  member->state == MemberState::Suspect});
-        const auto index = choice_->choose(choices_[call.service], candidates,
-                                           {call.importance, call.duration}, kernel_.clock().now());
-        return index ? members.at(*index) : nullptr;
-    }
-
     /// Starts the next attempt, or ends the call with `otherwise` when there is no target for it.
     void tryNext(Token token, const Verdict &otherwise)
     {
         Routed &routed = routed_.at(token);
-        const Member *member = choose(*routed.call, routed.tried);
+        const Member *member = chooser_.choose(*routed.call, routed.tried, kernel_.clock().now());
         if (member == nullptr) {
             finish(token, otherwise);
             return;
@@ -160,8 +151,7 @@
                 = routed.call->duration == Duration::Long ? LinkClass::Bulk : LinkClass::Short;
         attempt.lent = lendToAttempt(routed.left);
         attempt.sentAt = kernel_.clock().now();
-        noteSent(choices_[routed.call->service], attempt.nodeId, routed.call->duration,
-                 attempt.sentAt);
+        chooser_.noteSent(*routed.call, attempt.nodeId, attempt.sentAt);
         attemptsTotal_
                 .Add({{"service", routed.call->service},
                       {"order", routed.tried.size() == 1 ? "first" : "retry"}})
@@ -222,37 +212,21 @@
         Routed &routed = routed_.at(attempt.routed);
         routed.attempt = 0;
         giveBack(routed.left, attempt.lent, outcome.unspent);
-        observe(*routed.call, attempt, outcome, report);
+        chooser_.noteEnded(
+                *routed.call,
+                {attempt.nodeId, attempt.sentAt, &outcome, report == LoadReport::Present},
+                kernel_.clock().now());
         decide(attempt.routed, outcome);
     }
 
-    void observe(const Call &call, const Attempt &attempt, const CallOutcome &outcome,
-                 LoadReport report)
-    {
-        ObservedEnd end;
-        end.sentAt = attempt.sentAt;
-        end.duration = call.duration;
-        end.wasServed = outcome.result.has_value();
-        end.hasFailed = !outcome.result.has_value()
-                        && outcome.result.error().execution == Execution::MayHaveRun
-                        && outcome.result.error().reason != Reason::Cancelled;
-        if (report == LoadReport::Present)
-            end.load = outcome.load;
-        noteEnded(choices_[call.service], attempt.nodeId, end, kernel_.clock().now());
-    }
-
     void decide(Token token, const CallOutcome &outcome)
     {
         Routed &routed = routed_.at(token);
         const Call &call = *routed.call;
         if (!outcome.result.has_value() && outcome.result.error().execution != Execution::NotRun)
             routed.mayHaveRun = true;
-        AttemptEnd end;
-        end.result = &outcome.result;
-        end.failedBelow = outcome.failedBelow;
-        end.hasOtherTarget = !membersOf(call.service, routed.tried).empty();
-        const bool shouldRetry
-                = takeRetry(call, end, routed.left, budgets_[call.service], kernel_.clock().now());
+        const bool shouldRetry = chooser_.takeRetry(call, outcome, routed.tried, routed.left,
+                                                    kernel_.clock().now());
         if (!shouldRetry) {
             finish(token, outcome.result, outcome.failedBelow);
             return;
@@ -283,9 +257,7 @@
         const Attempt attempt = std::move(found->second);
         attempts_.erase(found);
         const Token token = std::exchange(routed.attempt, 0);
-        CallOutcome lost;
-        lost.result = mayHaveRun(Reason::Cancelled);
-        observe(*routed.call, attempt, lost, LoadReport::Absent);
+        chooser_.noteAbandoned(*routed.call, attempt.nodeId, attempt.sentAt, kernel_.clock().now());
         if (attempt.isLocal) {
             kernel_.bus().post(CancelCall{token});
             return;
@@ -316,6 +288,8 @@
         const auto found = routed_.find(token);
         const Routed routed = std::move(found->second);
         routed_.erase(found);
+        if (!result.has_value() && routed.tried.size() > 1)
+            result.error().retriedBelow = true;
         if (!result.has_value() && routed.mayHaveRun
             && result.error().execution == Execution::NotRun)
             result.error().execution = Execution::MayHaveRun;
@@ -327,26 +301,11 @@
         kernel_.bus().post(std::move(message));
     }
 
-    void handleMembers(const MembersChanged &changed)
-    {
-        members_ = *changed.members;
-        for (auto &[service, state] : choices_) {
-            const auto usable = membersOf(service, {});
-            std::vector<Candidate> candidates;
-            for (const Member *member : usable)
-                candidates.push_back({member->nodeId});
-            retainTargets(state, candidates);
-        }
-    }
-
     Kernel &kernel_;
-    const ChoicePlugin *choice_ = nullptr;
+    TargetChooser chooser_;
     prometheus::Family<prometheus::Counter> &attemptsTotal_;
-    std::vector<Member> members_;
     std::map<Token, Routed> routed_;
     std::map<Token, Attempt> attempts_;
-    std::map<std::string, ChoiceState, std::less<>> choices_;
-    std::map<std::string, RetryBudget, std::less<>> budgets_;
 };
 
 const Registration<TaskPlugin> registration{TaskPlugin{
--- /dev/null
+++ b/Services/Node/TargetChooser.cpp
@@ -0,0 +1,136 @@
+#include <Node/TargetChooser.h>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace chive {
+
+namespace {
+
+/// Whether a target turned the call away for lack of time or slots.
+bool isRefusedForOverload(const Judged<Answer> &result)
+{
+    if (result.has_value() || result.error().execution != Execution::NotRun)
+        return false;
+    const Reason reason = result.error().reason;
+    return reason == Reason::Overloaded || reason == Reason::DeadlineExceeded;
+}
+
+/// Whether the target or the way to it failed, rather than the call taking too long.
+bool isTargetFailure(const Judged<Answer> &result)
+{
+    if (result.has_value())
+        return false;
+    switch (result.error().reason) {
+    case Reason::TargetUnreachable:
+    case Reason::TargetFailed:
+    case Reason::IncompleteAnswer:
+    case Reason::LinkLost:
+    case Reason::NoTarget:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+TargetChooser::TargetChooser(const ChoicePlugin &plugin, std::string dataCentre)
+    : plugin_(plugin)
+    , dataCentre_(std::move(dataCentre))
+{}
+
+void TargetChooser::setMembers(const std::vector<Member> &members)
+{
+    members_ = members;
+    for (auto &[name, service] : services_)
+        retainTargets(service.choice, candidatesOf(membersOf(name, {})));
+}
+
+bool TargetChooser::shouldShed(const Call &call, TimePoint now)
+{
+    ServiceState &service = services_[call.service];
+    const auto candidates = candidatesOf(membersOf(call.service, {}));
+    return shouldShedAtEntry(service.shed, service.choice, candidates, call.importance, now);
+}
+
+const Member *TargetChooser::choose(const Call &call, const std::set<std::string> &tried,
+                                    TimePoint now)
+{
+    ServiceState &service = services_[call.service];
+    if (tried.empty())
+        noteFirstAttempt(service.budget, now);
+    const auto members = membersOf(call.service, tried);
+    const auto index = plugin_.choose(service.choice, candidatesOf(members),
+                                      {call.importance, call.duration}, now);
+    return index ? members.at(*index) : nullptr;
+}
+
+void TargetChooser::noteSent(const Call &call, const std::string &nodeId, TimePoint now)
+{
+    chive::noteSent(services_[call.service].choice, nodeId, call.duration, now);
+}
+
+void TargetChooser::noteEnded(const Call &call, const Ended &ended, TimePoint now)
+{
+    ServiceState &service = services_[call.service];
+    const Judged<Answer> &result = ended.outcome->result;
+    ObservedEnd end{ended.sentAt, call.duration, result.has_value(), isTargetFailure(result), {}};
+    if (ended.hasLoad)
+        end.load = ended.outcome->load;
+    chive::noteEnded(service.choice, ended.nodeId, end, now);
+    if (!isRefusedForOverload(result))
+        noteAccepted(service.shed, call.importance, now);
+}
+
+void TargetChooser::noteAbandoned(const Call &call, const std::string &nodeId, TimePoint sentAt,
+                                  TimePoint now)
+{
+    const ObservedEnd end{sentAt, call.duration, false, false, {}};
+    chive::noteEnded(services_[call.service].choice, nodeId, end, now);
+}
+
+bool TargetChooser::takeRetry(const Call &call, const CallOutcome &outcome,
+                              const std::set<std::string> &tried, Allowance &left, TimePoint now)
+{
+    ServiceState &service = services_[call.service];
+    const auto others = membersOf(call.service, tried);
+    AttemptEnd end;
+    end.result = &outcome.result;
+    end.failedBelow = outcome.failedBelow;
+    end.hasOtherTarget = !others.empty();
+    std::optional<Microseconds> shortest;
+    for (const Member *member : others) {
+        const Microseconds latency = expectedLatency(service.choice, member->nodeId);
+        shortest = std::min(latency, shortest.value_or(latency));
+    }
+    end.expectedLatency = shortest.value_or(Microseconds(0));
+    return chive::takeRetry(call, end, left, service.budget, now);
+}
+
+std::vector<const Member *> TargetChooser::membersOf(const std::string &service,
+                                                     const std::set<std::string> &tried) const
+{
+    std::vector<const Member *> found;
+    for (const Member &member : members_) {
+        const bool isUsable
+                = member.state == MemberState::Alive || member.state == MemberState::Suspect;
+        if (isUsable && member.service == service && tried.count(member.nodeId) == 0)
+            found.push_back(&member);
+    }
+    return found;
+}
+
+std::vector<Candidate> TargetChooser::candidatesOf(const std::vector<const Member *> &members) const
+{
+    std::vector<Candidate> candidates;
+    candidates.reserve(members.size());
+    for (const Member *member : members) {
+        candidates.push_back({member->nodeId, member->dataCentre == dataCentre_,
+                              member->state == MemberState::Suspect});
+    }
+    return candidates;
+}
+
+} // namespace chive
--- /dev/null
+++ b/Services/Node/TargetChooser.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <LibNode/Call.h>
+#include <LibNode/Messages.h>
+#include <LibPolicy/Choice.h>
+#include <LibPolicy/EntryShed.h>
+#include <LibPolicy/Retry.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chive {
+
+/// What the router knows of the targets, service by service, and the decisions that rest on it:
+/// whether to take a call on at all, which target runs it, and whether to try again.
+class TargetChooser
+{
+public:
+    TargetChooser(const ChoicePlugin &plugin, std::string dataCentre);
+
+    void setMembers(const std::vector<Member> &members);
+
+    /// Whether to refuse the call here because every target would. Counts the call as offered.
+    [[nodiscard]] bool shouldShed(const Call &call, TimePoint now);
+
+    /// The target for the next attempt, or null. Valid until the members change.
+    [[nodiscard]] const Member *choose(const Call &call, const std::set<std::string> &tried,
+                                       TimePoint now);
+
+    /// An attempt is sent to a target.
+    void noteSent(const Call &call, const std::string &nodeId, TimePoint now);
+
+    /// One attempt that is over.
+    struct Ended
+    {
+        std::string nodeId;
+        TimePoint sentAt;
+        const CallOutcome *outcome = nullptr;
+        bool hasLoad = false; ///< The outcome came from the target's node.
+    };
+    void noteEnded(const Call &call, const Ended &ended, TimePoint now);
+
+    /// The attempt was given up without an outcome.
+    void noteAbandoned(const Call &call, const std::string &nodeId, TimePoint sentAt,
+                       TimePoint now);
+
+    /// Whether to try again elsewhere. True takes a retry from `left` and from the budget.
+    [[nodiscard]] bool takeRetry(const Call &call, const CallOutcome &outcome,
+                                 const std::set<std::string> &tried, Allowance &left,
+                                 TimePoint now);
+
+private:
+    struct ServiceState
+    {
+        ChoiceState choice;
+        EntryShedState shed;
+        RetryBudget budget;
+    };
+
+    [[nodiscard]] std::vector<const Member *> membersOf(const std::string &service,
+                                                        const std::set<std::string> &tried) const;
+    [[nodiscard]] std::vector<Candidate>
+    candidatesOf(const std::vector<const Member *> &members) const;
+
+    const ChoicePlugin &plugin_;
+    std::string dataCentre_;
+    std::vector<Member> members_;
+    std::map<std::string, ServiceState, std::less<>> services_;
+};
+
+} // namespace chive
