LibOnce: Let each idempotency key run at most once by the order of the log

An attempt writes an intent to the service's stream and runs only after it has read that its intent came first. No clock takes a key from its holder; only the holder itself releases it, when the attempt has not run and never will. An intent says how far its writer had read when the key was free, so that nodes which forget a key at different moments still agree on who holds it next.

Ruled out: releases that count locally before the log has them (other nodes would still see the key held while the releaser lets the next attempt run), and expiry by the wall clock in records (one wrong clock would free every key).

While written it failed once: a second run came earlier than a lifetime after the first run, because a lifetime counts from the intent and not from the run.

--- /dev/null
+++ b/Libraries/LibOnce/OnceRecord.cpp
@@ -0,0 +1,236 @@
+#include <LibOnce/OnceRecord.h>
+
+#include <LibCore/Identifier.h>
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace chive {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t digitsOfWord = 16;
+constexpr int hexadecimal = 16;
+
+std::string hexOf(std::uint64_t value)
+{
+    std::array<char, digitsOfWord> digits{};
+    const auto end
+            = std::to_chars(digits.data(), digits.data() + digits.size(), value, hexadecimal).ptr;
+    const std::string text(digits.data(), end);
+    return std::string(digitsOfWord - text.size(), '0') + text;
+}
+
+std::uint64_t wordOf(std::string_view digits)
+{
+    std::uint64_t value = 0;
+    const auto [end, error]
+            = std::from_chars(digits.data(), digits.data() + digits.size(), value, hexadecimal);
+    if (error != std::errc() || end != digits.data() + digits.size()
+        || digits.size() != digitsOfWord)
+        throw std::invalid_argument("expected 16 hexadecimal digits");
+    return value;
+}
+
+std::string hexOf(const KeyDigest &key)
+{
+    return hexOf(key.high) + hexOf(key.low);
+}
+
+KeyDigest keyOf(std::string_view digits)
+{
+    if (digits.size() != 2 * digitsOfWord)
+        throw std::invalid_argument("expected 32 hexadecimal digits");
+    return {wordOf(digits.substr(0, digitsOfWord)), wordOf(digits.substr(digitsOfWord))};
+}
+
+/// A number at that place of an array; throws when it is not one or does not fit.
+template<typename Number>
+Number numberAt(const Json &array, std::size_t index)
+{
+    const Json &value = array.at(index);
+    if (!value.is_number_unsigned())
+        throw std::invalid_argument("expected an unsigned integer");
+    const auto number = value.get<std::uint64_t>();
+    if (!std::in_range<Number>(number))
+        throw std::invalid_argument("a number is out of range");
+    return static_cast<Number>(number);
+}
+
+std::string textAt(const Json &array, std::size_t index)
+{
+    return array.at(index).get<std::string>();
+}
+
+Json toJson(const Intent &intent)
+{
+    return {hexOf(intent.key), hexOf(intent.fingerprint), intent.sequence, intent.asOf};
+}
+
+Intent intentOf(const Json &json)
+{
+    return {keyOf(textAt(json, 0)), wordOf(textAt(json, 1)), numberAt<std::uint32_t>(json, 2),
+            numberAt<std::uint64_t>(json, 3)};
+}
+
+Json toJson(const Release &release)
+{
+    return {hexOf(release.key), release.sequence};
+}
+
+Release releaseOf(const Json &json)
+{
+    return {keyOf(textAt(json, 0)), numberAt<std::uint32_t>(json, 1)};
+}
+
+Json toJson(const Ended &ended)
+{
+    Json json = {hexOf(ended.key), ended.sequence, ended.status};
+    if (ended.hasBody) {
+        json.push_back(ended.contentType);
+        json.push_back(ended.body);
+    }
+    return json;
+}
+
+Ended endedOf(const Json &json)
+{
+    Ended ended;
+    ended.key = keyOf(textAt(json, 0));
+    ended.sequence = numberAt<std::uint32_t>(json, 1);
+    ended.status = numberAt<std::uint16_t>(json, 2);
+    ended.hasBody = json.size() == 5;
+    if (ended.hasBody) {
+        ended.contentType = textAt(json, 3);
+        ended.body = textAt(json, 4);
+    }
+    return ended;
+}
+
+Json toJson(const SnapshotEntry &remembered)
+{
+    const KeyEntry &entry = remembered.entry;
+    return {hexOf(remembered.key),
+            hexOf(entry.fingerprint),
+            hexOf(entry.holder),
+            entry.sequence,
+            entry.offset,
+            entry.status,
+            static_cast<unsigned>(entry.state),
+            remembered.ageSeconds};
+}
+
+SnapshotEntry snapshotEntryOf(const Json &json)
+{
+    const auto state = numberAt<std::uint8_t>(json, 6);
+    if (state > static_cast<std::uint8_t>(KeyState::Ended))
+        throw std::invalid_argument("unknown state of a key");
+    SnapshotEntry remembered;
+    remembered.key = keyOf(textAt(json, 0));
+    remembered.entry.fingerprint = wordOf(textAt(json, 1));
+    remembered.entry.holder = wordOf(textAt(json, 2));
+    remembered.entry.sequence = numberAt<std::uint32_t>(json, 3);
+    remembered.entry.offset = numberAt<std::uint64_t>(json, 4);
+    remembered.entry.status = numberAt<std::uint16_t>(json, 5);
+    remembered.entry.state = static_cast<KeyState>(state);
+    remembered.ageSeconds = numberAt<std::uint32_t>(json, 7);
+    return remembered;
+}
+
+template<typename Item>
+Json listOf(const std::vector<Item> &items)
+{
+    Json list = Json::array();
+    for (const Item &item : items)
+        list.push_back(toJson(item));
+    return list;
+}
+
+template<typename Item>
+std::vector<Item> readList(const Json &object, const char *name, Item (*read)(const Json &))
+{
+    std::vector<Item> items;
+    for (const Json &json : object.at(name).get_ref<const Json::array_t &>())
+        items.push_back(read(json));
+    return items;
+}
+
+Json toJson(const OnceBatch &batch)
+{
+    return {{"type", "batch"},
+            {"holder", hexOf(batch.holder)},
+            {"releases", listOf(batch.releases)},
+            {"ends", listOf(batch.ends)},
+            {"intents", listOf(batch.intents)}};
+}
+
+OnceBatch batchOf(const Json &json)
+{
+    return {wordOf(json.at("holder").get<std::string>()),
+            readList<Release>(json, "releases", releaseOf), readList<Ended>(json, "ends", endedOf),
+            readList<Intent>(json, "intents", intentOf)};
+}
+
+Json toJson(const SnapshotPart &part)
+{
+    return {{"type", "snapshot"},
+            {"id", hexOf(part.id)},
+            {"position", {part.part, part.parts, part.asOf}},
+            {"entries", listOf(part.entries)}};
+}
+
+SnapshotPart snapshotPartOf(const Json &json)
+{
+    const Json &position = json.at("position");
+    SnapshotPart part;
+    part.id = wordOf(json.at("id").get<std::string>());
+    part.part = numberAt<std::uint32_t>(position, 0);
+    part.parts = numberAt<std::uint32_t>(position, 1);
+    part.asOf = numberAt<std::uint64_t>(position, 2);
+    if (part.part >= part.parts)
+        throw std::invalid_argument("a part lies outside its set");
+    part.entries = readList<SnapshotEntry>(json, "entries", snapshotEntryOf);
+    return part;
+}
+
+} // namespace
+
+KeyDigest digestOfKey(std::string_view key)
+{
+    return keyOf(digest(key));
+}
+
+std::uint64_t digestOfFingerprint(std::string_view fingerprint)
+{
+    return digestOfKey(fingerprint).high;
+}
+
+std::string encodeOnceRecord(const OnceRecord &record)
+{
+    const Json json = std::visit([](const auto &value) { return toJson(value); }, record);
+    // Bodies that are not UTF-8 are not put into a record; a header value still could be.
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<OnceRecord> parseOnceRecord(std::string_view payload)
+{
+    // nlohmann::json and the readers above report mistakes by exceptions; they end here.
+    try {
+        const Json json = Json::parse(payload);
+        const auto type = json.at("type").get<std::string>();
+        if (type == "batch")
+            return OnceRecord(batchOf(json));
+        if (type == "snapshot")
+            return OnceRecord(snapshotPartOf(json));
+        return Error{Error::Kind::Invalid, "unknown type of record: " + type};
+    } catch (const std::exception &exception) {
+        return Error{Error::Kind::Invalid, exception.what()};
+    }
+}
+
+} // namespace chive
--- /dev/null
+++ b/Tests/LibOnce/TestPermissionArbiter.cpp
@@ -0,0 +1,271 @@
+#include "SimulatedLog.h"
+
+#include <LibOnce/AppendPacer.h>
+#include <LibOnce/PermissionArbiter.h>
+
+#include <doctest/doctest.h>
+
+using namespace chive;
+using chive::test::SimulatedLog;
+
+namespace {
+
+const TimePoint start{std::chrono::hours(1)};
+constexpr Milliseconds patience{5'000};
+
+/// One node with its arbiter, reading and writing a log without faults.
+struct Node
+{
+    SimulatedLog &log;
+    PermissionArbiter arbiter;
+    std::uint64_t nextToken = 1;
+
+    Node(SimulatedLog &shared, std::uint64_t holder)
+        : log(shared)
+        , arbiter([holder] {
+            ArbiterOptions options;
+            options.holder = holder;
+            return options;
+        }())
+    {
+        read();
+    }
+
+    void read(TimePoint now = start)
+    {
+        arbiter.handlePage(log.read(arbiter.fold().expected()), now);
+    }
+
+    std::uint64_t ask(const std::string &key, const std::string &fingerprint = "f")
+    {
+        arbiter.handleAsk({nextToken, key, fingerprint, start + patience}, start);
+        return nextToken++;
+    }
+
+    void append(AppendEffect effect = AppendEffect::Written, bool isWritten = true)
+    {
+        const OnceBatch batch = arbiter.takeBatch();
+        if (isWritten)
+            log.append(encodeOnceRecord(batch));
+        arbiter.handleAppended(batch, effect, start);
+    }
+
+    std::uint64_t run(const std::string &key)
+    {
+        const std::uint64_t token = ask(key);
+        append();
+        read();
+        const auto decisions = arbiter.takeDecisions();
+        REQUIRE(decisions.size() == 1);
+        REQUIRE(decisions.front().isGranted);
+        return token;
+    }
+
+    /// The only decision since the last look.
+    PermissionDecision decision()
+    {
+        auto decisions = arbiter.takeDecisions();
+        REQUIRE(decisions.size() == 1);
+        return decisions.front();
+    }
+};
+
+Answer answerOf(const std::string &body)
+{
+    return {201, {{"Content-Type", "text/plain"}}, makeBody(body)};
+}
+
+} // namespace
+
+TEST_CASE("A new key is granted once its intent was read from the log, not before")
+{
+    SimulatedLog log;
+    Node node(log, 1);
+    node.ask("a");
+    CHECK(node.arbiter.takeDecisions().empty());
+    node.append();
+    CHECK(node.arbiter.takeDecisions().empty());
+    node.read();
+    CHECK(node.decision().isGranted);
+
+    SUBCASE("also when the answer to the append was lost, and the copy changes nothing")
+    {
+        node.ask("b");
+        node.append(AppendEffect::Unknown);
+        node.append();
+        node.read();
+        CHECK(node.decision().isGranted);
+        CHECK(log.records.size() == 3);
+    }
+}
+
+TEST_CASE("A key that ran before")
+{
+    SimulatedLog log;
+    Node first(log, 1);
+    Node second(log, 2);
+    const std::uint64_t token = first.run("a");
+
+    SUBCASE("gets the first answer, at any node")
+    {
+        first.arbiter.handleEnded(token, answerOf("entry 7"));
+        first.append();
+        second.read();
+        second.ask("a");
+        const auto decision = second.decision();
+        REQUIRE(decision.otherwise.has_value());
+        CHECK(decision.otherwise.value().status == 201);
+        CHECK(bytesOf(decision.otherwise.value().body) == "entry 7");
+    }
+
+    SUBCASE("is said to have run when the first answer was too large to keep")
+    {
+        first.arbiter.handleEnded(token, answerOf(std::string(5'000, 'x')));
+        first.append();
+        second.read();
+        second.ask("a");
+        const auto decision = second.decision();
+        CHECK_FALSE(decision.isGranted);
+        CHECK(decision.otherwise.error().execution == Execution::HasRun);
+    }
+
+    SUBCASE("is refused as not run when it comes with another request")
+    {
+        second.read();
+        second.ask("a", "other");
+        const auto decision = second.decision();
+        CHECK(decision.otherwise.error().execution == Execution::NotRun);
+        CHECK(decision.otherwise.error().reason == Reason::BadRequest);
+    }
+
+    SUBCASE("may have run as long as nobody says more, however long that is")
+    {
+        second.read();
+        second.ask("a");
+        second.arbiter.handleTime(start + patience);
+        const auto decision = second.decision();
+        CHECK(decision.otherwise.error().execution == Execution::MayHaveRun);
+        CHECK(decision.otherwise.error().reason == Reason::DuplicateKey);
+    }
+
+    SUBCASE("is free again when the target was never reached")
+    {
+        first.arbiter.handleEnded(token, notRun(Reason::TargetUnreachable));
+        first.append();
+        second.run("a");
+    }
+
+    SUBCASE("waits for the outcome of an attempt that is under way")
+    {
+        second.read();
+        second.ask("a");
+        first.arbiter.handleEnded(token, answerOf("entry 7"));
+        first.append();
+        second.read();
+        CHECK(second.decision().otherwise.has_value());
+    }
+}
+
+TEST_CASE("While the log is down")
+{
+    SimulatedLog log;
+    Node node(log, 1);
+
+    SUBCASE("a new key is held until its deadline, then refused as not run")
+    {
+        node.ask("a");
+        node.append(AppendEffect::None, false);
+        node.arbiter.handleTime(start + patience - Milliseconds(100));
+        CHECK(node.arbiter.takeDecisions().empty());
+        node.arbiter.handleTime(start + patience);
+        const auto decision = node.decision();
+        CHECK(decision.otherwise.error().execution == Execution::NotRun);
+        CHECK(decision.otherwise.error().retryAfter.has_value());
+        CHECK_FALSE(node.arbiter.hasOutgoing());
+    }
+
+    SUBCASE("an attempt that was given up is never granted, and frees its key")
+    {
+        node.ask("a");
+        node.append(AppendEffect::Unknown, false);
+        const OnceBatch delayed = node.arbiter.takeBatch();
+        node.arbiter.handleTime(start + patience);
+        CHECK_FALSE(node.decision().isGranted);
+        log.append(encodeOnceRecord(delayed));
+        node.read();
+        CHECK(node.arbiter.takeDecisions().empty());
+        node.append();
+        Node other(log, 2);
+        other.run("a");
+    }
+
+    SUBCASE("the answer to a known key is still given")
+    {
+        const std::uint64_t token = node.run("a");
+        node.arbiter.handleEnded(token, answerOf("entry 7"));
+        node.ask("a");
+        CHECK(node.decision().otherwise.has_value());
+    }
+}
+
+TEST_CASE("A holder that was paused past its call's deadline does not run the call")
+{
+    SimulatedLog log;
+    Node node(log, 1);
+    node.ask("a");
+    node.append();
+    node.read(start + patience);
+    CHECK(node.arbiter.takeDecisions().empty());
+    node.arbiter.handleTime(start + patience);
+    CHECK_FALSE(node.decision().isGranted);
+    node.append();
+    Node other(log, 2);
+    other.run("a");
+}
+
+TEST_CASE("A node without the whole history grants nothing")
+{
+    SimulatedLog log;
+    Node old(log, 1);
+    old.run("a");
+    log.retainFrom(1);
+    Node fresh(log, 2);
+    fresh.ask("a");
+    fresh.ask("b");
+    CHECK_FALSE(fresh.arbiter.hasOutgoing());
+    fresh.arbiter.handleTime(start + patience);
+    for (const auto &decision : fresh.arbiter.takeDecisions())
+        CHECK(decision.otherwise.error().reason == Reason::LogUnavailable);
+}
+
+TEST_CASE("The pace of appends")
+{
+    AppendPacer pacer;
+    TimePoint now = start;
+    pacer.handleSent(now);
+    CHECK_FALSE(pacer.maySend(now + Milliseconds(19)));
+    CHECK(pacer.maySend(now + Milliseconds(20)));
+
+    SUBCASE("falls when the log takes no more, and rises again slowly")
+    {
+        pacer.handleOutcome(AppendPacer::Outcome::RateLimited, now, 0.5);
+        CHECK(pacer.interval() == Milliseconds(40));
+        pacer.handleSent(now);
+        pacer.handleOutcome(AppendPacer::Outcome::Written, now, 0.5);
+        CHECK(pacer.interval() == Milliseconds(36));
+    }
+
+    SUBCASE("falls to about a second in an outage, and is back at once after it")
+    {
+        pacer.handleOutcome(AppendPacer::Outcome::Unavailable, now, 0.5);
+        for (int i = 0; i < 10; ++i) {
+            now += Milliseconds(1'000);
+            REQUIRE(pacer.maySend(now));
+            pacer.handleSent(now);
+            pacer.handleOutcome(AppendPacer::Outcome::Unavailable, now, 0.5);
+        }
+        CHECK_FALSE(pacer.maySend(now + Milliseconds(400)));
+        pacer.handleReachable(now, 0.5);
+        CHECK(pacer.maySend(now + Milliseconds(100)));
+    }
+}
--- /dev/null
+++ b/Tests/LibOnce/TestStreamFold.cpp
@@ -0,0 +1,131 @@
+#include "SimulatedLog.h"
+
+#include <LibOnce/StreamFold.h>
+
+#include <doctest/doctest.h>
+
+using namespace chive;
+using chive::test::SimulatedLog;
+
+namespace {
+
+constexpr Milliseconds lifetime{80'000};
+const TimePoint start{std::chrono::hours(1)};
+
+std::string intentOf(const std::string &key)
+{
+    OnceBatch batch;
+    batch.holder = 1;
+    batch.intents = {{digestOfKey(key), 1, 1, 0}};
+    return encodeOnceRecord(batch);
+}
+
+void appendSnapshot(SimulatedLog &log, const StreamFold &fold)
+{
+    for (const SnapshotPart &part : makeSnapshot(fold.table(), 5, fold.expected(), start))
+        log.append(encodeOnceRecord(part));
+}
+
+} // namespace
+
+TEST_CASE("A fold knows whether it has the whole history")
+{
+    SimulatedLog log;
+    for (const char *key : {"a", "b", "c"})
+        log.append(intentOf(key));
+    StreamFold old(lifetime);
+    old.handlePage(log.read(0), start);
+
+    SUBCASE("it has, when it read from the beginning")
+    {
+        CHECK(old.isComplete());
+        CHECK(old.table().size() == 3);
+        CHECK_FALSE(old.isSnapshotMissing());
+    }
+
+    SUBCASE("it has not, when retention passed before it began")
+    {
+        log.retainFrom(2);
+        old.handlePage(log.read(3), start);
+        CHECK(old.isSnapshotMissing());
+        StreamFold fresh(lifetime);
+        fresh.handlePage(log.read(0), start);
+        CHECK_FALSE(fresh.isComplete());
+
+        SUBCASE("until somebody writes a snapshot")
+        {
+            log.append(intentOf("d"));
+            appendSnapshot(log, old);
+            log.append(intentOf("e"));
+            const auto progress = fresh.handlePage(log.read(3), start);
+            CHECK(fresh.isComplete());
+            REQUIRE(progress.followFrom == 3);
+            fresh.handlePage(log.read(3), start);
+            CHECK(fresh.lag() == 0);
+            CHECK(fresh.table().size() == 5);
+            CHECK_FALSE(fresh.isSnapshotMissing());
+        }
+
+        SUBCASE("or a lifetime has passed without a gap")
+        {
+            fresh.handlePage(log.read(3), start + lifetime - Milliseconds(1));
+            CHECK_FALSE(fresh.isComplete());
+            fresh.handlePage(log.read(3), start + lifetime);
+            CHECK(fresh.isComplete());
+        }
+    }
+
+    SUBCASE("it has not, when retention passed it while it was paused")
+    {
+        log.append(intentOf("d"));
+        log.retainFrom(4);
+        old.handlePage(log.read(3), start);
+        CHECK_FALSE(old.isComplete());
+        CHECK(old.table().size() == 3);
+    }
+
+    SUBCASE("it has not, when the log lost records")
+    {
+        log.records.pop_back();
+        old.handlePage(log.read(3), start);
+        CHECK_FALSE(old.isComplete());
+    }
+}
+
+TEST_CASE("A snapshot counts only if the records after it are still there")
+{
+    SimulatedLog log;
+    log.append(intentOf("a"));
+    StreamFold old(lifetime);
+    old.handlePage(log.read(0), start);
+    appendSnapshot(log, old);
+    log.append(intentOf("b"));
+    StreamFold fresh(lifetime);
+
+    SUBCASE("they are")
+    {
+        log.retainFrom(1);
+        fresh.handlePage(log.read(0), start);
+        CHECK(fresh.isComplete());
+    }
+
+    SUBCASE("they are not")
+    {
+        log.retainFrom(2);
+        fresh.handlePage(log.read(0), start);
+        CHECK_FALSE(fresh.isComplete());
+    }
+}
+
+TEST_CASE("A page that skips records is read again")
+{
+    SimulatedLog log;
+    for (const char *key : {"a", "b", "c"})
+        log.append(intentOf(key));
+    StreamFold fold(lifetime);
+    fold.handlePage(log.read(0, 1), start);
+    const auto progress = fold.handlePage(log.read(2), start);
+    CHECK(progress.followFrom == 1);
+    CHECK(fold.expected() == 1);
+    CHECK(fold.isComplete());
+}
