LibPolicy: Give important work a longer queue and retries that targets would take

Cause: at three times the demand that fits, with a tenth of it lost to nothing else, 1.7 % of the critical calls were refused. Bursts of critical work filled a queue of one round of the slots, the retry budget had gone on calls that every target refused, and a near target was preferred even where all were hot.

Change: the queue holds up to four rounds of critical and two of high work; a refusal for overload is retried only at a target that admits the importance; where all targets are hot, load decides.

--- a/Libraries/LibPolicy/AdaptiveAdmission.cpp
+++ b/Libraries/LibPolicy/AdaptiveAdmission.cpp
@@ -1,7 +1,7 @@
 #include <LibPolicy/Admission.h>
 
 #include <algorithm>
-#include <cmath>
+#include <array>
 
 /// The default way of admission: an adaptive limit, a short queue ordered by importance and then
 /// deadline for each duration, a share of the slots for long work, and refusal at once of work
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr std::size_t smallestQueue = 4;
+/// Queue lengths by importance, in rounds of the slots. Important work may wait longer, so that it
+/// is not lost to a burst of its own kind.
+constexpr std::array<std::size_t, importanceLevels> queueRounds{4, 2, 1, 1};
 constexpr Milliseconds admittedHold{100}; ///< How long a lowered level is reported.
 constexpr Milliseconds shortestRetryAfter{100};
 constexpr Milliseconds longestRetryAfter{5'000};
@@ -79,11 +82,21 @@
     return fromMilliseconds(static_cast<double>(ahead + 1) * latency / slots);
 }
 
-std::size_t queueCapacity(const AdmissionState &state, Duration duration)
+/// How much work of this importance and more may wait.
+std::size_t queueCapacity(const AdmissionState &state, Duration duration, Importance importance)
 {
     const std::size_t slots
             = duration == Duration::Long ? longSlots(state) : currentLimit(state.limit);
-    return std::max(smallestQueue, slots);
+    return queueRounds[static_cast<std::size_t>(importance)] * std::max(smallestQueue, slots);
+}
+
+/// Queued work of the same duration that is at least as important.
+std::size_t queuedAtLeast(const AdmissionState &state, const WorkAttributes &attributes)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(state.queue, [&](const QueuedWork &work) {
+        return work.attributes.duration == attributes.duration
+               && work.attributes.importance <= attributes.importance;
+    }));
 }
 
 std::size_t queuedOf(const AdmissionState &state, Duration duration)
@@ -158,11 +171,14 @@
     if (end > attributes.deadline)
         return refuse(state, attributes, now);
 
+    if (queuedAtLeast(state, attributes) >= queueCapacity(state, duration, attributes.importance))
+        return refuse(state, attributes, now);
     OfferDecision decision{Admitted::Queue, {}, {}};
-    if (queuedOf(state, duration) >= queueCapacity(state, duration)) {
-        const auto last = lastOf(state, duration);
-        if (last->attributes.importance <= attributes.importance)
-            return refuse(state, attributes, now);
+    const auto last = lastOf(state, duration);
+    const bool isLastLessImportant
+            = last != state.queue.end() && last->attributes.importance > attributes.importance;
+    if (isLastLessImportant
+        && queuedOf(state, duration) >= queueCapacity(state, duration, Importance::Low)) {
         lowerAdmitted(state, last->attributes, now);
         decision.evicted.push_back({last->token, overloaded(state, duration)});
         state.queue.erase(last);
--- a/Libraries/LibPolicy/Choice.cpp
+++ b/Libraries/LibPolicy/Choice.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr Milliseconds loadLifetime{300}; ///< Reports older than this are not used.
 constexpr double latencyGain = 0.1;
 constexpr double probedLatencyGain = 1.0; ///< A probe tells more than what was seen before it.
 
@@ -64,6 +65,16 @@
     });
 }
 
+bool hasFreshLoad(const TargetView &view, TimePoint now)
+{
+    return view.loadAt != TimePoint{} && now - view.loadAt < loadLifetime;
+}
+
+bool wouldAdmit(const TargetView &view, Importance importance, TimePoint now)
+{
+    return !hasFreshLoad(view, now) || view.load.admitted >= static_cast<std::uint8_t>(importance);
+}
+
 Microseconds expectedLatency(const ChoiceState &state, std::string_view nodeId)
 {
     const auto entry = state.targets.find(nodeId);
--- a/Libraries/LibPolicy/Choice.h
+++ b/Libraries/LibPolicy/Choice.h
@@ -83,6 +83,12 @@
 /// Forgets the targets that are not in the list.
 void retainTargets(ChoiceState &state, std::span<const Candidate> members);
 
+/// Whether the latest load report is recent enough to be used.
+[[nodiscard]] bool hasFreshLoad(const TargetView &view, TimePoint now);
+
+/// Whether the target would take work of this importance, as far as a fresh report tells.
+[[nodiscard]] bool wouldAdmit(const TargetView &view, Importance importance, TimePoint now);
+
 /// The smoothed latency of a target; zero before the first answer.
 [[nodiscard]] Microseconds expectedLatency(const ChoiceState &state, std::string_view nodeId);
 
--- a/Libraries/LibPolicy/EntryShed.cpp
+++ b/Libraries/LibPolicy/EntryShed.cpp
@@ -10,7 +10,6 @@
 constexpr double halfLife = 0.5;         ///< Seconds, of the counters.
 constexpr double passedPerAccept = 2.0;  ///< Calls let through for each one accepted.
 constexpr double smallestTraffic = 10.0; ///< Below it nothing is shed; also the probing rate.
-constexpr Milliseconds reportLifetime{300};
 
 void decay(ShedCounter &counter, TimePoint now)
 {
@@ -26,11 +25,7 @@
                  TimePoint now)
 {
     const auto entry = targets.targets.find(candidate.nodeId);
-    if (entry == targets.targets.end())
-        return false;
-    const TargetView &view = entry->second;
-    const bool isFresh = view.loadAt != TimePoint{} && now - view.loadAt < reportLifetime;
-    return isFresh && view.load.admitted < static_cast<std::uint8_t>(importance);
+    return entry != targets.targets.end() && !wouldAdmit(entry->second, importance, now);
 }
 
 ShedCounter &counterOf(EntryShedState &shed, Importance importance)
--- a/Libraries/LibPolicy/TwoChoices.cpp
+++ b/Libraries/LibPolicy/TwoChoices.cpp
@@ -17,8 +17,7 @@
 constexpr Milliseconds firstSlowPause{300};
 constexpr Milliseconds longestSlowPause{2'400};
 constexpr Milliseconds failedPause{200};
-constexpr Milliseconds loadLifetime{500}; ///< Reports older than this are not used.
-constexpr double hotShare = 0.8;          ///< Of its limit at which a near target is hot.
+constexpr double hotShare = 0.8; ///< Of its limit at which a near target is hot.
 
 struct Rated
 {
@@ -29,11 +28,6 @@
     double latency = 0.0; ///< Milliseconds, calls that are still out included.
 };
 
-bool hasFreshLoad(const TargetView &view, TimePoint now)
-{
-    return view.loadAt != TimePoint{} && now - view.loadAt < loadLifetime;
-}
-
 /// A call that is out longer than the smoothed latency tells of slowness before it is answered.
 double estimatedLatency(const TargetView &view, TimePoint now)
 {
@@ -102,8 +96,7 @@
 
 bool admits(const Rated &target, Importance importance, TimePoint now)
 {
-    return !hasFreshLoad(*target.view, now)
-           || target.view->load.admitted >= static_cast<std::uint8_t>(importance);
+    return wouldAdmit(*target.view, importance, now);
 }
 
 bool isHot(const Rated &target, TimePoint now)
@@ -187,8 +180,13 @@
     prefer(rated, [](const Rated &target) { return !target.isSuspect; });
     prefer(rated, [&](const Rated &target) { return isInUse(target, now); });
     prefer(rated, [&](const Rated &target) { return admits(target, question.importance, now); });
-    prefer(rated, [&](const Rated &target) { return !isHot(target, now); });
-    prefer(rated, [](const Rated &target) { return target.isNear; });
+    // Where all are hot, the load decides, not the way.
+    std::vector<Rated> cool
+            = keepIf(rated, [&](const Rated &target) { return !isHot(target, now); });
+    if (!cool.empty()) {
+        prefer(cool, [](const Rated &target) { return target.isNear; });
+        rated = std::move(cool);
+    }
     return betterOfTwo(state, rated, question, now);
 }
 
--- a/Services/Node/TargetChooser.cpp
+++ b/Services/Node/TargetChooser.cpp
@@ -95,7 +95,15 @@
                               const std::set<std::string> &tried, Allowance &left, TimePoint now)
 {
     ServiceState &service = services_[call.service];
-    const auto others = membersOf(call.service, tried);
+    auto others = membersOf(call.service, tried);
+    // Under overload the budget must not go on calls that the next target would refuse as well.
+    if (isRefusedForOverload(outcome.result)) {
+        std::erase_if(others, [&](const Member *member) {
+            const auto view = service.choice.targets.find(member->nodeId);
+            return view != service.choice.targets.end()
+                   && !wouldAdmit(view->second, call.importance, now);
+        });
+    }
     AttemptEnd end;
     end.result = &outcome.result;
     end.failedBelow = outcome.failedBelow;
--- a/Tests/LibPolicy/TestAdmission.cpp
+++ b/Tests/LibPolicy/TestAdmission.cpp
@@ -110,6 +110,17 @@
                 CHECK(decision.evicted[0].verdict.reason == Reason::Overloaded);
             }
 
+            SUBCASE("important work takes the place of all of it, and may wait longer")
+            {
+                std::size_t evicted = 0;
+                for (WorkToken token = 30; token < 60; ++token) {
+                    const OfferDecision decision = story.offer(token, Importance::Critical);
+                    CHECK(decision.admitted == Admitted::Queue);
+                    evicted += decision.evicted.size();
+                }
+                CHECK(evicted == 10);
+            }
+
             SUBCASE("the reported level rises again when nothing is refused any more")
             {
                 (void)story.offer(21);
--- a/Utilities/Load/Deployment.cpp
+++ b/Utilities/Load/Deployment.cpp
@@ -1,5 +1,7 @@
 #include <Load/Deployment.h>
 
+#include <LibNotes/NotesRecord.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -133,22 +135,19 @@
     return outcome::success();
 }
 
-Result<void> publish(EventLoop &loop, const DeploymentPlace &place, const std::string &note)
+Result<void> publish(EventLoop &loop, const Endpoint &log, const std::string &record)
 {
     const SystemClock clock;
     const TimePoint limit = clock.now() + readyTimeout;
     const HttpRequest probe{"GET", "/streams/notes/records?from=0&limit=1", {}, nullptr};
-    const Endpoint log = NodePorts::at(place.firstPort);
     while (!isWhole(fetch(loop, log, probe))) {
         if (clock.now() > limit)
             return Error{Error::Kind::Unavailable, "the log stand-in does not answer"};
         pause(loop);
     }
-    CHIVE_TRY(published,
-              ChildProcess::start({(place.programs / "Services/ChiveRouter/chiverouter").string(),
-                                   "publish", "--log=" + chive::format(log), note},
-                                  (place.directory / "publish.out").string()));
-    if (published.wait() != 0)
+    const HttpClient::Outcome appended
+            = fetch(loop, log, {"POST", "/streams/notes/records", {}, makeBody(record)});
+    if (!appended.has_value() || appended.value().status != 201)
         return Error{Error::Kind::Unavailable, "the release note could not be published"};
     return outcome::success();
 }
@@ -182,8 +181,8 @@
     CHIVE_TRY(startProcess({(place.programs / "Utilities/StandIns/chiverouter-standins").string(),
                             "log", "--listen=" + log},
                            "log"));
-    const std::string note = write(inDirectory("note.toml"), noteOf(trace, options));
-    CHIVE_TRY(publish(loop, place, note));
+    const NoteRecord note{trace.name, "", "load", noteOf(trace, options)};
+    CHIVE_TRY(publish(loop, NodePorts::at(place.firstPort), encodeNoteRecord(note)));
 
     for (std::size_t i = 0; i < trace.targets.size(); ++i) {
         const std::string name = "node-" + std::to_string(i);
