--- a/Services/Node/LinkFrame.cpp
+++ b/Services/Node/LinkFrame.cpp
@@ -8,7 +8,7 @@
 
 using nlohmann::json;
 
-constexpr auto lastTopic = Topic::Quarantine;
+constexpr auto lastTopic = Topic::Status;
 
 } // namespace
 
