Quarantine: Stop requests that crash their targets after two

All requests in flight at a crash are suspects; one is to blame. Two crashes alone would blame those that are retried beside it, so a target runs one suspect at a time, a completion acquits, and the verdict on a broken call is held for 100 ms until the nodes beside targets of the service know the suspects.

--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -115,7 +115,13 @@
     record.hasLeft = claim.state == MemberState::Leaving;
     record.deadAt.reset();
     if (claim.state == MemberState::Suspect)
-        record.deadAt = now + retention_.suspicion;
+        openSuspicion(record, now);
+}
+
+void MemberTable::openSuspicion(MemberRecord &record, TimePoint now)
+{
+    record.deadAt = now + retention_.suspicion;
+    nextExpiry_ = std::min(nextExpiry_, *record.deadAt);
 }
 
 void MemberTable::removeReplaced(const Member &claim)
@@ -136,7 +142,7 @@
     MemberRecord &record = found->second;
     if (record.deadAt.has_value() || record.member.state == MemberState::Dead)
         return false;
-    record.deadAt = now + retention_.suspicion;
+    openSuspicion(record, now);
     // A member that leaves must not look usable again, so it stays Leaving until it dies.
     if (record.member.state == MemberState::Alive)
         record.member.state = MemberState::Suspect;
@@ -157,6 +163,9 @@
 std::vector<std::string> MemberTable::expire(TimePoint now)
 {
     std::vector<std::string> died;
+    if (now < nextExpiry_)
+        return died;
+    nextExpiry_ = TimePoint::max();
     for (auto entry = records_.begin(); entry != records_.end();) {
         MemberRecord &record = entry->second;
         if (entry->first == selfId_) {
@@ -167,22 +176,34 @@
             markDead(record, now);
             died.push_back(entry->first);
         }
-        const std::chrono::nanoseconds kept
-                = record.hasLeft ? std::chrono::nanoseconds(retention_.left) : retention_.dead;
-        if (record.member.state == MemberState::Dead && now >= record.died + kept) {
+        const TimePoint droppedAt = record.died + keptWhenDead(record);
+        const bool isDead = record.member.state == MemberState::Dead;
+        if (isDead && now >= droppedAt) {
             byEndpoint_.erase(record.member.links);
             entry = records_.erase(entry);
             continue;
         }
+        if (isDead)
+            nextExpiry_ = std::min(nextExpiry_, droppedAt);
+        if (record.deadAt.has_value())
+            nextExpiry_ = std::min(nextExpiry_, *record.deadAt);
         ++entry;
     }
     return died;
 }
 
-void MemberTable::markDead(MemberRecord &record, TimePoint now) const
+std::chrono::nanoseconds MemberTable::keptWhenDead(const MemberRecord &record) const
+{
+    if (record.hasLeft)
+        return retention_.left;
+    return retention_.dead;
+}
+
+void MemberTable::markDead(MemberRecord &record, TimePoint now)
 {
     record.member.state = MemberState::Dead;
     record.died = now;
+    nextExpiry_ = std::min(nextExpiry_, now + keptWhenDead(record));
     record.deadAt.reset();
     record.roundTrip.reset();
 }
--- a/Libraries/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/MemberTable.h
@@ -97,13 +97,17 @@
     [[nodiscard]] MergeResult mergeDeath(MemberRecord &record, const Member &claim, TimePoint now);
     [[nodiscard]] MergeResult mergeAboutSelf(const Member &claim) const;
     void store(const Member &claim, TimePoint now);
-    void markDead(MemberRecord &record, TimePoint now) const;
+    void openSuspicion(MemberRecord &record, TimePoint now);
+    void markDead(MemberRecord &record, TimePoint now);
+    [[nodiscard]] std::chrono::nanoseconds keptWhenDead(const MemberRecord &record) const;
     void removeReplaced(const Member &claim);
 
     std::string selfId_;
     MemberRetention retention_;
     std::map<std::string, MemberRecord, std::less<>> records_;
     std::map<Endpoint, std::string> byEndpoint_;
+    /// Nothing expires before this, so the records need not be searched.
+    TimePoint nextExpiry_ = TimePoint::max();
 };
 
 } // namespace chive
--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -256,6 +256,8 @@
 struct QuarantineChanged
 {
     std::shared_ptr<const std::vector<std::string>> fingerprints;
+    /// In flight at one crash: run one of them at a time, so that a second crash tells them apart.
+    std::shared_ptr<const std::vector<std::string>> suspects;
 };
 
 } // namespace chive
--- a/Services/Node/MembershipTask.cpp
+++ b/Services/Node/MembershipTask.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::string_view membersStream = "members";
 constexpr Milliseconds tickInterval{100};
+constexpr Milliseconds metricsInterval{1'000};
 constexpr Milliseconds followInterval{10'000};
 constexpr Milliseconds leastAnnounceRetry{1'000};
 constexpr Milliseconds mostAnnounceRetry{30'000};
@@ -74,6 +75,7 @@
             membership_.addContact(peer);
         announce();
         publishIfChanged();
+        metricsTimer_ = kernel_.loop().every(metricsInterval, [this] { updateMetrics(); });
         tickTimer_ = kernel_.loop().every(tickInterval, [this] { tick(); });
     }
 
@@ -100,7 +102,6 @@
     {
         sendAll(membership_.tick(kernel_.clock().now()));
         publishIfChanged();
-        updateMetrics();
     }
 
     void receive(const ReceivedFromPeer &received)
@@ -262,6 +263,7 @@
     Milliseconds announceRetry_ = leastAnnounceRetry;
     Timer announceTimer_;
     Timer tickTimer_;
+    Timer metricsTimer_;
 
     prometheus::Counter *bytesSent_ = nullptr;
     prometheus::Counter *messagesSent_ = nullptr;
--- a/Services/Node/TargetTask.cpp
+++ b/Services/Node/TargetTask.cpp
@@ -23,6 +23,11 @@
 
 /// Expired work in the queue is answered within this time.
 constexpr Milliseconds queueInterval{5};
+/// The verdict on a call whose connection broke waits until the nodes beside other targets know
+/// the suspects if it was a crash: no retry may reach them before.
+constexpr Milliseconds crashReportTime{100};
+/// When a suspect may try again while another one runs.
+constexpr Milliseconds suspectRetryAfter{500};
 
 /// Admits calls to the target beside this node, runs them there, and takes the target's own calls.
 class TargetTask final : public Task
@@ -34,6 +39,7 @@
         , side_(kernel, contexts_, [this] { handleTargetChanged(); })
         , crashes_(kernel)
         , quarantined_(std::make_shared<const std::vector<std::string>>())
+        , suspects_(std::make_shared<const std::vector<std::string>>())
         , catalogue_(std::make_shared<const Catalogue>())
     {
         if (admission_ == nullptr)
@@ -44,8 +50,10 @@
         bus.subscribe<CancelCall>([this](const CancelCall &message) { cancelWork(message.token); });
         bus.subscribe<PermissionDecided>(
                 [this](const PermissionDecided &decided) { handlePermission(decided); });
-        bus.subscribe<QuarantineChanged>(
-                [this](const QuarantineChanged &changed) { quarantined_ = changed.fingerprints; });
+        bus.subscribe<QuarantineChanged>([this](const QuarantineChanged &changed) {
+            quarantined_ = changed.fingerprints;
+            suspects_ = changed.suspects;
+        });
         bus.subscribe<CatalogueChanged>([this](const CatalogueChanged &changed) {
             catalogue_ = changed.catalogue;
             handleTargetChanged();
@@ -66,6 +74,7 @@
         AwaitingPermission,
         Queued,
         Running,
+        Broken, ///< The connection broke; the verdict is held back for a moment.
     };
 
     /// One call from RunCall to CallRan.
@@ -84,7 +93,9 @@
 
     void begin(const RunCall &message)
     {
-        const auto refusal = reasonToRefuse(*message.call);
+        auto refusal = reasonToRefuse(*message.call);
+        if (!refusal)
+            refusal = reasonToDefer(*message.call);
         if (refusal) {
             answer(message.token, *refusal, message.call->allowance, false);
             return;
@@ -103,12 +114,33 @@
             return notRun(Reason::NoTarget, "no target of '" + call.service + "' beside this node");
         if (call.deadline <= kernel_.clock().now())
             return notRun(Reason::DeadlineExceeded, "the deadline passed before the call began");
-        const auto &list = *quarantined_;
-        if (std::find(list.begin(), list.end(), call.fingerprint) != list.end())
+        if (contains(*quarantined_, call.fingerprint))
             return quarantineVerdict();
         return std::nullopt;
     }
 
+    static bool contains(const std::vector<std::string> &list, const std::string &fingerprint)
+    {
+        return std::find(list.begin(), list.end(), fingerprint) != list.end();
+    }
+
+    /// Requests that were in flight at one crash run one at a time, so that a second crash shows
+    /// which of them was the cause.
+    [[nodiscard]] std::optional<Verdict> reasonToDefer(const Call &call) const
+    {
+        if (suspects_->empty() || !contains(*suspects_, call.fingerprint))
+            return std::nullopt;
+        for (const auto &[token, work] : work_) {
+            if (!contains(*suspects_, work.call->fingerprint))
+                continue;
+            Verdict verdict = notRun(Reason::Quarantined,
+                                     "a request that was in flight at a crash too runs just now");
+            verdict.retryAfter = suspectRetryAfter;
+            return verdict;
+        }
+        return std::nullopt;
+    }
+
     static Verdict quarantineVerdict()
     {
         return notRun(Reason::Quarantined, "requests like this one were in flight at crashes");
@@ -218,7 +250,7 @@
             return;
         case HttpFailure::Stage::Sent:
             crashes_.noteBroken(work.call->fingerprint, side_.endpoint());
-            end(token, mayHaveRun(Reason::TargetFailed, failure.message));
+            holdVerdict(token, mayHaveRun(Reason::TargetFailed, failure.message));
             return;
         case HttpFailure::Stage::Incomplete:
             end(token, mayHaveRun(Reason::IncompleteAnswer, failure.message));
@@ -226,6 +258,14 @@
         }
     }
 
+    void holdVerdict(Token token, const Verdict &verdict)
+    {
+        Work &work = work_.at(token);
+        work.stage = Stage::Broken;
+        work.limit = kernel_.loop().after(crashReportTime,
+                                          [this, token, verdict] { end(token, verdict); });
+    }
+
     void expire(Token token)
     {
         withdraw(token, mayHaveRun(Reason::DeadlineExceeded, "the target did not answer in time"));
@@ -239,6 +279,8 @@
             return;
         if (found->second.stage == Stage::Running)
             withdraw(token, mayHaveRun(Reason::Cancelled));
+        else if (found->second.stage == Stage::Broken)
+            end(token, mayHaveRun(Reason::Cancelled));
         else
             end(token, notRun(Reason::Cancelled));
     }
@@ -265,7 +307,7 @@
         if (work.isGranted)
             kernel_.bus().post(GrantedCallEnded{token, result});
         ContextEnd context{work.call->allowance, false};
-        if (work.stage == Stage::Running)
+        if (work.stage == Stage::Running || work.stage == Stage::Broken)
             context = contexts_.close(work.context);
         answer(token, std::move(result), context.unspent, context.failedBelow);
         startWork();
@@ -329,6 +371,7 @@
     TargetSide side_;
     CrashDetector crashes_;
     std::shared_ptr<const std::vector<std::string>> quarantined_;
+    std::shared_ptr<const std::vector<std::string>> suspects_;
     std::shared_ptr<const Catalogue> catalogue_;
     AdmissionState admissionState_ = makeAdmissionState({});
     std::map<Token, Work> work_;
