Target: Give the slot back while a call waits for the log

A call that runs at most once held its slot while it asked for permission, so an outage of the log filled every slot: with 400 such calls waiting, 0 of 40 lookups at the same targets were answered. The call now leaves admission while it waits and is offered again when it is granted; if it is refused then, the once task releases its key.

Asking before the first offer was ruled out: under overload every refused call would cost two records in the log.

--- a/Services/Node/TargetTask.cpp
+++ b/Services/Node/TargetTask.cpp
@@ -141,14 +141,16 @@
             startAdmitted(token);
     }
 
-    /// The call holds a slot from here on.
+    /// The call holds a slot from here on. While it waits for the log it gives the slot back, so
+    /// that an outage of the log takes no slots from other work, and is offered again afterwards.
     void startAdmitted(Token token)
     {
         Work &work = work_.at(token);
-        if (work.call->repetition != Repetition::AtMostOnce) {
+        if (work.call->repetition != Repetition::AtMostOnce || work.isGranted) {
             run(token);
             return;
         }
+        chive::cancel(admissionState_, token);
         work.stage = Stage::AwaitingPermission;
         const Call &call = *work.call;
         kernel_.bus().post(
@@ -173,7 +175,8 @@
             end(decided.token, *refusal);
             return;
         }
-        run(decided.token);
+        found->second.stage = Stage::Queued;
+        admit(decided.token);
     }
 
     void run(Token token)
--- a/Tests/Integration/TestAtMostOnce.cpp
+++ b/Tests/Integration/TestAtMostOnce.cpp
@@ -285,6 +285,7 @@
         LedgerMesh ledger;
         StubbornCallers callers(ledger.mesh);
         callers.sendSpread("a", 3 * count, Milliseconds(1'500));
+        callers.sendSpread("a", 3 * count, Milliseconds(1'600));
         for (int round = 0; round < 4; ++round) {
             ledger.mesh.caller().control(ledger.mesh.log(), {{"lose_answers", 6}});
             ledger.mesh.caller().wait(Milliseconds(200));
@@ -339,6 +340,24 @@
         CHECK(refused == 0);
     }
 
+    SUBCASE("holds no slot that other work needs")
+    {
+        ledger.mesh.caller().control(ledger.mesh.log(), {{"outage", "refuse"}});
+        StubbornCallers callers(ledger.mesh);
+        callers.sendMany("new", 400);
+        ledger.mesh.caller().wait(Milliseconds(300));
+        std::size_t answered = 0;
+        for (std::size_t i = 0; i < count; ++i) {
+            const Endpoint &entry = ledger.members[i % ledger.members.size()]->callers;
+            answered += ledger.mesh.caller().get(entry, "/ledger/units/7").isAnswer() ? 1 : 0;
+        }
+        MESSAGE("lookups answered: ", answered, " of ", count);
+        CHECK(answered == count);
+        ledger.mesh.caller().control(ledger.mesh.log(), {{"outage", "off"}});
+        REQUIRE(callers.settle());
+        ledger.judge(callers);
+    }
+
     SUBCASE("is refused as not run when the outage is longer, but known keys are answered")
     {
         ledger.mesh.caller().control(ledger.mesh.log(), {{"outage", "refuse"}});
