--- a/Tests/Integration/TestAtMostOnce.cpp
+++ b/Tests/Integration/TestAtMostOnce.cpp
@@ -340,6 +340,23 @@
         CHECK(refused == 0);
     }
 
+    SUBCASE("is held while the log is slow, or hangs for less than its deadline")
+    {
+        ledger.mesh.caller().control(ledger.mesh.log(), {{"delay_ms", 300}});
+        StubbornCallers slow(ledger.mesh);
+        slow.sendMany("slow", count);
+        REQUIRE(slow.settle());
+        ledger.judge(slow);
+        ledger.mesh.caller().control(ledger.mesh.log(), {{"delay_ms", 0}, {"outage", "hang"}});
+        StubbornCallers hung(ledger.mesh);
+        hung.sendMany("hung", count);
+        ledger.mesh.caller().wait(Milliseconds(800));
+        ledger.mesh.caller().control(ledger.mesh.log(), {{"outage", "off"}});
+        REQUIRE(hung.settle());
+        ledger.judge(hung);
+        MESSAGE("not granted at once: slow ", slow.disturbed(), " hung ", hung.disturbed());
+    }
+
     SUBCASE("holds no slot that other work needs")
     {
         ledger.mesh.caller().control(ledger.mesh.log(), {{"outage", "refuse"}});
