--- a/Tests/Integration/TestAtMostOnce.cpp
+++ b/Tests/Integration/TestAtMostOnce.cpp
@@ -285,6 +285,7 @@
         LedgerMesh ledger;
         StubbornCallers callers(ledger.mesh);
         callers.sendSpread("a", 3 * count, Milliseconds(1'500));
+        callers.sendSpread("a", 3 * count, Milliseconds(1'600));
         for (int round = 0; round < 4; ++round) {
             ledger.mesh.caller().control(ledger.mesh.log(), {{"lose_answers", 6}});
             ledger.mesh.caller().wait(Milliseconds(200));
@@ -339,6 +340,41 @@
         CHECK(refused == 0);
     }
 
+    SUBCASE("is held while the log is slow, or hangs for less than its deadline")
+    {
+        ledger.mesh.caller().control(ledger.mesh.log(), {{"delay_ms", 300}});
+        StubbornCallers slow(ledger.mesh);
+        slow.sendMany("slow", count);
+        REQUIRE(slow.settle());
+        ledger.judge(slow);
+        ledger.mesh.caller().control(ledger.mesh.log(), {{"delay_ms", 0}, {"outage", "hang"}});
+        StubbornCallers hung(ledger.mesh);
+        hung.sendMany("hung", count);
+        ledger.mesh.caller().wait(Milliseconds(800));
+        ledger.mesh.caller().control(ledger.mesh.log(), {{"outage", "off"}});
+        REQUIRE(hung.settle());
+        ledger.judge(hung);
+        MESSAGE("not granted at once: slow ", slow.disturbed(), " hung ", hung.disturbed());
+    }
+
+    SUBCASE("holds no slot that other work needs")
+    {
+        ledger.mesh.caller().control(ledger.mesh.log(), {{"outage", "refuse"}});
+        StubbornCallers callers(ledger.mesh);
+        callers.sendMany("new", 400);
+        ledger.mesh.caller().wait(Milliseconds(300));
+        std::size_t answered = 0;
+        for (std::size_t i = 0; i < count; ++i) {
+            const Endpoint &entry = ledger.members[i % ledger.members.size()]->callers;
+            answered += ledger.mesh.caller().get(entry, "/ledger/units/7").isAnswer() ? 1 : 0;
+        }
+        MESSAGE("lookups answered: ", answered, " of ", count);
+        CHECK(answered == count);
+        ledger.mesh.caller().control(ledger.mesh.log(), {{"outage", "off"}});
+        REQUIRE(callers.settle());
+        ledger.judge(callers);
+    }
+
     SUBCASE("is refused as not run when the outage is longer, but known keys are answered")
     {
         ledger.mesh.caller().control(ledger.mesh.log(), {{"outage", "refuse"}});
