--- a/Services/Node/CallContexts.h
+++ b/Services/Node/CallContexts.h
@@ -17,7 +17,7 @@
 struct ContextEnd
 {
     Allowance unspent;
-    bool failedBelow = false; ///< A nested call got no answer.
+    bool failedBelow = false; ///< A nested call got no answer, or a server error.
 };
 
 /// The calls that the target beside this node runs now, each with what is left of its allowance.
--- a/Utilities/Load/Deployment.cpp
+++ b/Utilities/Load/Deployment.cpp
@@ -71,7 +71,7 @@
             text += "duration = \"" + kind.duration + "\"\n";
             text += "deadline_ms = " + std::to_string(kind.deadline.count()) + '\n';
             text += "retries = " + std::to_string(options.routerRetries) + '\n';
-            text += "nested_calls = 64\n";
+            text += "nested_calls = " + std::to_string(options.nestedCalls) + '\n';
         }
     }
     return text;
@@ -161,7 +161,8 @@
 
 DeploymentOptions baselineDeployment()
 {
-    return {"baseline", "request-counting", "none", 0, 4};
+    // The allowance is made so large that it does not bind.
+    return {"baseline", "request-counting", "none", 100, 100'000, 4};
 }
 
 Result<Deployment> Deployment::start(EventLoop &loop, const Trace &trace,
--- a/Utilities/Load/Deployment.h
+++ b/Utilities/Load/Deployment.h
@@ -19,7 +19,10 @@
     std::string name; ///< "policy" or "baseline".
     std::string choice = "two-choices";
     std::string admission = "adaptive";
-    std::uint32_t routerRetries = 2;  ///< Of the declared kinds.
+    std::uint32_t routerRetries = 2; ///< Of the declared kinds.
+    /// Of the declared kinds. Half of the rest is lent at each hop, so that a chain of eight needs
+    /// far more than eight.
+    std::uint32_t nestedCalls = 1'000;
     std::uint32_t targetAttempts = 1; ///< How often a target tries each nested call itself.
 };
 
