LibHttp, Node: Wait at a stop for requests that are still being received

evhttp shows a request only once its body is whole, so a planned stop did not count uploads on their way in: all 6 of 6 uploads to a node that got SIGTERM while receiving them were cut (TestPlannedStop). The server now watches its connections' bytes and counts those requests as in flight; 6 of 6 are answered.

A connection of the client rests 25 to 50 ms before reuse: under load a second copy of a response came later than 2 to 4 ms (TestWholeAnswers, 1 wrong answer of 240).

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -24,7 +24,7 @@
 
 /// A connection is used again only after it rested between one and two of these, so that a response
 /// that the server sends twice shows itself before it could pass for the answer to another request.
-constexpr Milliseconds restInterval{2};
+constexpr Milliseconds restInterval{25};
 
 std::optional<evhttp_cmd_type> commandOf(std::string_view method)
 {
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -10,6 +10,7 @@
 #include <event2/keyvalq_struct.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace chive {
@@ -17,6 +18,8 @@
 namespace {
 
 constexpr std::size_t maximumHeaderBytes = 64 * 1024;
+/// The records of closed connections are let go this often.
+constexpr Milliseconds releaseInterval{500};
 
 std::string methodName(evhttp_cmd_type type)
 {
@@ -150,9 +153,10 @@
     respond({500, {}, nullptr});
 }
 
-HttpServer::HttpServer(evhttp *server, Handler handler)
-    : server_(server)
+HttpServer::HttpServer(EventLoop &loop, Handler handler)
+    : server_(evhttp_new(loop.base()))
     , handler_(std::move(handler))
+    , loop_(loop)
 {}
 
 HttpServer::~HttpServer()
@@ -160,11 +164,60 @@
     evhttp_free(server_);
 }
 
+HttpServer::Connection::Connection(bufferevent *handle)
+    : handle(handle)
+{
+    bufferevent_incref(handle);
+    const auto onBytes = [](evbuffer *, const evbuffer_cb_info *info, void *argument) {
+        if (info->n_added > 0)
+            static_cast<Connection *>(argument)->isReceiving = true;
+    };
+    evbuffer_add_cb(bufferevent_get_input(handle), onBytes, this);
+}
+
+HttpServer::Connection::~Connection()
+{
+    bufferevent_decref(handle);
+}
+
+bufferevent *HttpServer::addConnection()
+{
+    bufferevent *handle = bufferevent_socket_new(loop_.base(), -1, 0);
+    connections_.emplace(handle, std::make_unique<Connection>(handle));
+    return handle;
+}
+
+void HttpServer::releaseClosed()
+{
+    std::erase_if(connections_, [](const auto &entry) {
+        // evhttp takes its callbacks away from a connection that it frees.
+        bufferevent_data_cb onRead = nullptr;
+        bufferevent_getcb(entry.first, &onRead, nullptr, nullptr, nullptr);
+        return onRead == nullptr;
+    });
+}
+
+std::size_t HttpServer::receiving()
+{
+    releaseClosed();
+    return std::count_if(connections_.begin(), connections_.end(),
+                         [](const auto &entry) { return entry.second->isReceiving; });
+}
+
+void HttpServer::handle(evhttp_request *request)
+{
+    evhttp_connection *connection = evhttp_request_get_connection(request);
+    const auto found = connections_.find(evhttp_connection_get_bufferevent(connection));
+    if (found != connections_.end())
+        found->second->isReceiving = false;
+    handler_(readRequest(request), std::make_shared<HttpExchange>(request, closesAfter_));
+}
+
 Result<std::unique_ptr<HttpServer>> HttpServer::listen(EventLoop &loop, const Endpoint &endpoint,
                                                        std::size_t maximumBodySize, Handler handler)
 {
-    evhttp *server = evhttp_new(loop.base());
-    std::unique_ptr<HttpServer> result(new HttpServer(server, std::move(handler)));
+    std::unique_ptr<HttpServer> result(new HttpServer(loop, std::move(handler)));
+    evhttp *server = result->server_;
     result->socket_ = evhttp_bind_socket_with_handle(server, endpoint.ip.c_str(), endpoint.port);
     if (result->socket_ == nullptr)
         return Error{Error::Kind::Unavailable, "cannot listen on " + format(endpoint)};
@@ -174,11 +227,15 @@
                                                | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE
                                                | EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS);
     const auto handle = [](evhttp_request *request, void *argument) {
-        auto *self = static_cast<HttpServer *>(argument);
-        self->handler_(readRequest(request),
-                       std::make_shared<HttpExchange>(request, self->closesAfter_));
+        static_cast<HttpServer *>(argument)->handle(request);
     };
     evhttp_set_gencb(server, handle, result.get());
+    const auto add = [](event_base *, void *argument) {
+        return static_cast<HttpServer *>(argument)->addConnection();
+    };
+    evhttp_set_bevcb(server, add, result.get());
+    HttpServer *self = result.get();
+    self->releaseTimer_ = loop.every(releaseInterval, [self] { self->releaseClosed(); });
     return result;
 }
 
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -2,13 +2,16 @@
 
 #include <LibCore/Result.h>
 #include <LibHttp/HttpMessage.h>
+#include <LibKernel/EventLoop.h>
 #include <LibSettings/Settings.h>
 
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string_view>
 
+struct bufferevent;
 struct event;
 struct evhttp;
 struct evhttp_bound_socket;
@@ -16,8 +19,6 @@
 
 namespace chive {
 
-class EventLoop;
-
 /// One request of a peer that waits for its response.
 class HttpExchange
 {
@@ -64,6 +65,9 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
+    /// Requests of which some bytes have come and others have not. The handler has not seen them.
+    [[nodiscard]] std::size_t receiving();
+
     /// Accepts no more connections; those that are open go on.
     void stopAccepting();
 
@@ -71,12 +75,31 @@
     void closeAfterResponses();
 
 private:
-    HttpServer(evhttp *server, Handler handler);
+    HttpServer(EventLoop &loop, Handler handler);
+
+    /// What evhttp does not tell of one connection.
+    struct Connection
+    {
+        explicit Connection(bufferevent *handle);
+        ~Connection();
+        Connection(const Connection &) = delete;
+        Connection &operator=(const Connection &) = delete;
+
+        bufferevent *handle = nullptr; ///< Referenced, so that it never dangles.
+        bool isReceiving = false;
+    };
+
+    bufferevent *addConnection();
+    void releaseClosed();
+    void handle(evhttp_request *request);
 
     evhttp *server_ = nullptr;
     evhttp_bound_socket *socket_ = nullptr;
     std::shared_ptr<bool> closesAfter_ = std::make_shared<bool>(false);
     Handler handler_;
+    EventLoop &loop_;
+    std::map<bufferevent *, std::unique_ptr<Connection>> connections_;
+    Timer releaseTimer_;
 };
 
 } // namespace chive
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -28,7 +28,7 @@
                 [this](const CatalogueChanged &changed) { catalogue_ = changed.catalogue; });
         kernel.bus().subscribe<CallRouted>([this](const CallRouted &routed) { finish(routed); });
         kernel.bus().subscribe<StopRequested>([this](const StopRequested &) { stop(); });
-        kernel.addInFlight([this] { return open_.size(); });
+        kernel.addInFlight([this] { return open_.size() + (server_ ? server_->receiving() : 0); });
     }
 
     void start() override
--- a/Services/Node/TargetSide.cpp
+++ b/Services/Node/TargetSide.cpp
@@ -27,7 +27,7 @@
     kernel.bus().subscribe<CatalogueChanged>(
             [this](const CatalogueChanged &message) { catalogue_ = message.catalogue; });
     kernel.bus().subscribe<CallRouted>([this](const CallRouted &routed) { finishNested(routed); });
-    kernel.addInFlight([this] { return nested_.size(); });
+    kernel.addInFlight([this] { return nested_.size() + (server_ ? server_->receiving() : 0); });
 }
 
 TargetSide::~TargetSide() = default;
