--- a/Tests/Harness/Mesh.cpp
+++ b/Tests/Harness/Mesh.cpp
@@ -142,6 +142,25 @@
     return process;
 }
 
+Endpoint Mesh::addProxy(const std::string &name, const Endpoint &server)
+{
+    FreeProxy &proxy = proxies_.emplace_back();
+    proxy.listen = freeEndpoint();
+    proxy.control = freeEndpoint();
+    proxy.process = startProxy(name, proxy.listen, server, proxy.control);
+    return proxy.listen;
+}
+
+Endpoint Mesh::controlOf(const Endpoint &proxy) const
+{
+    for (const FreeProxy &one : proxies_) {
+        if (one.listen == proxy)
+            return one.control;
+    }
+    FAIL("no such proxy");
+    return {};
+}
+
 void Mesh::publish(std::string_view id, std::string_view buildsOn, std::string_view toml)
 {
     const nlohmann::json record = {{"type", "note"},
--- a/Tests/Harness/Mesh.h
+++ b/Tests/Harness/Mesh.h
@@ -70,6 +70,11 @@
     void startTarget(RunningMember &member);
     [[nodiscard]] std::list<RunningMember> &members() { return members_; }
 
+    /// Starts a fault proxy before any server; returns where it listens.
+    [[nodiscard]] Endpoint addProxy(const std::string &name, const Endpoint &server);
+    /// The /control endpoint of a proxy from `addProxy`.
+    [[nodiscard]] Endpoint controlOf(const Endpoint &proxy) const;
+
     /// Appends a release note to the log stream `notes`.
     void publish(std::string_view id, std::string_view buildsOn, std::string_view toml);
 
@@ -91,6 +96,13 @@
     Endpoint logEndpoint_;
     Process log_;
     std::list<RunningMember> members_;
+    struct FreeProxy
+    {
+        Endpoint listen;
+        Endpoint control;
+        Process process;
+    };
+    std::list<FreeProxy> proxies_;
 };
 
 } // namespace chive
