Node: Let a failed read of the log not abandon those beside it

While an answer was late a second read went out, and its failure gave up the first one too, so a slow log behind a connection that breaks was read later than needed. TestAtMostOnce passes as before; the case itself has no test of its own.

--- a/Services/Node/StreamPoller.cpp
+++ b/Services/Node/StreamPoller.cpp
@@ -61,23 +61,25 @@
 void StreamPoller::sendRead()
 {
     if (reads_.size() < maximumReadsOut) {
-        const auto callback = [this, generation = generation_](const Result<LogPage> &page) {
-            handleAnswer(generation, page);
-        };
-        reads_.push_back(client_.read(stream_, next_, limit_, readTimeout, callback));
+        const std::uint64_t attempt = ++lastAttempt_;
+        const auto callback
+                = [this, attempt](const Result<LogPage> &page) { handleAnswer(attempt, page); };
+        reads_.emplace(attempt, client_.read(stream_, next_, limit_, readTimeout, callback));
     }
     readAfter(secondReadDelay);
 }
 
-void StreamPoller::handleAnswer(std::uint64_t generation, const Result<LogPage> &page)
+void StreamPoller::handleAnswer(std::uint64_t attempt, const Result<LogPage> &page)
 {
-    if (generation != generation_)
+    // Reads that were abandoned still call back.
+    if (reads_.erase(attempt) == 0)
         return;
-    abandonReads();
-    if (page.has_value())
+    if (page.has_value()) {
+        abandonReads();
         handlePage(page.value());
-    else
+    } else if (reads_.empty()) {
         handleFailure(page.error());
+    }
     listener_(page);
 }
 
@@ -103,8 +105,7 @@
 
 void StreamPoller::abandonReads()
 {
-    ++generation_;
-    for (const LogClient::RequestId id : std::exchange(reads_, {}))
+    for (const auto &[attempt, id] : std::exchange(reads_, {}))
         client_.cancel(id);
 }
 
--- a/Services/Node/StreamPoller.h
+++ b/Services/Node/StreamPoller.h
@@ -6,9 +6,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <random>
 #include <string>
-#include <vector>
 
 namespace chive {
 
@@ -40,7 +40,7 @@
 private:
     void readAfter(Milliseconds delay);
     void sendRead();
-    void handleAnswer(std::uint64_t generation, const Result<LogPage> &page);
+    void handleAnswer(std::uint64_t attempt, const Result<LogPage> &page);
     void handlePage(const LogPage &page);
     void handleFailure(const Error &error);
     void abandonReads();
@@ -57,8 +57,8 @@
     unsigned failures_ = 0;    ///< In a row.
     bool isReadDue_ = false;   ///< readNow was called while a read was out.
 
-    std::uint64_t generation_ = 0; ///< Answers to reads of an earlier generation are ignored.
-    std::vector<LogClient::RequestId> reads_;
+    std::uint64_t lastAttempt_ = 0;
+    std::map<std::uint64_t, LogClient::RequestId> reads_; ///< Out now, by attempt.
     Timer timer_;
     std::mt19937_64 random_;
 };
