--- a/Services/ChiveRouter/StatusCommand.cpp
+++ b/Services/ChiveRouter/StatusCommand.cpp
@@ -42,6 +42,33 @@
     return std::to_string(milliseconds / 1'000) + " s";
 }
 
+/// Retries that the node may make now towards each service.
+void printRetryBudget(const json &status)
+{
+    const json::json_pointer path("/router/retry_budget");
+    std::cout << "Retries left  ";
+    if (status.contains(path)) {
+        for (const auto &[service, tokens] : status.at(path).items())
+            std::cout << ' ' << service << ' ' << tokens.dump();
+    }
+    std::cout << '\n';
+}
+
+/// What the asked node's own probes say of a member: "late", "suspect" and the like.
+std::string suspicionOf(const json &status, const std::string &nodeId)
+{
+    for (const json &member : status.value("members", json::array())) {
+        if (textAt(member, "/node_id") != nodeId)
+            continue;
+        const std::string state = textAt(member, "/state");
+        std::string text = state == "alive" ? "" : state;
+        if (textAt(member, "/late") == "true")
+            text += text.empty() ? "LATE" : ", LATE";
+        return text;
+    }
+    return {};
+}
+
 void printNode(const json &status)
 {
     std::cout << "Release note   " << textAt(status, "/notes/head") << " (version "
@@ -58,7 +85,9 @@
               << " slots, " << textAt(status, "/target/in_flight") << " in flight, "
               << textAt(status, "/target/queued") << " queued, admits "
               << textAt(status, "/target/admitted") << " and above\n"
-              << "Routing        " << textAt(status, "/router") << "\n\n";
+              << "Routing        " << textAt(status, "/router/calls") << " calls under way\n";
+    printRetryBudget(status);
+    std::cout << '\n';
 }
 
 void printMeshHead()
@@ -69,12 +98,26 @@
               << "REMARKS\n";
 }
 
-std::string remarksOn(const json &member, const std::string &head)
+std::string joined(const std::vector<std::string> &remarks)
+{
+    std::string text;
+    for (const std::string &remark : remarks)
+        text += (text.empty() ? "" : ", ") + remark;
+    return text.empty() ? "ok" : text;
+}
+
+std::string remarksOn(const json &member, const json &status)
 {
-    if (!member.value("reached", false))
-        return "UNREACHABLE";
-    const json &report = member.at("report");
     std::vector<std::string> remarks;
+    const std::string suspicion = suspicionOf(status, textAt(member, "/node_id"));
+    if (!suspicion.empty())
+        remarks.push_back(suspicion);
+    if (!member.value("reached", false)) {
+        remarks.emplace_back("UNREACHABLE");
+        return joined(remarks);
+    }
+    const json &report = member.at("report");
+    const std::string head = textAt(status, "/notes/head");
     if (textAt(report, "/notes/head") != head)
         remarks.emplace_back("OTHER NOTE");
     const std::int64_t confirmed = numberAt(report, "/notes/confirmed_ms_ago");
@@ -88,20 +131,17 @@
         remarks.emplace_back("NO TARGET");
     if (textAt(report, "/target/draining") == "true")
         remarks.emplace_back("leaving");
-    std::string text;
-    for (const std::string &remark : remarks)
-        text += (text.empty() ? "" : ", ") + remark;
-    return text.empty() ? "ok" : text;
+    return joined(remarks);
 }
 
-void printMember(const json &member, const std::string &head)
+void printMember(const json &member, const json &status)
 {
     std::cout << std::left << std::setw(20) << textAt(member, "/node_id") << std::setw(16)
               << textAt(member, "/service") << std::setw(14) << textAt(member, "/data_centre")
               << std::setw(12) << textAt(member, "/report/target/in_flight") << std::setw(8)
               << textAt(member, "/report/target/limit") << std::setw(10)
               << textAt(member, "/report/target/admitted") << std::setw(26)
-              << textAt(member, "/report/notes/head") << remarksOn(member, head) << '\n';
+              << textAt(member, "/report/notes/head") << remarksOn(member, status) << '\n';
 }
 
 ExitCode runStatus(ParsedArguments &arguments)
@@ -129,7 +169,7 @@
     }
     printMeshHead();
     for (const json &member : members)
-        printMember(member, textAt(status.value(), "/notes/head"));
+        printMember(member, status.value());
     return ExitCode::Ok;
 }
 
--- a/Services/Node/RouterTask.cpp
+++ b/Services/Node/RouterTask.cpp
@@ -82,7 +82,9 @@
                 [this](const MembersChanged &changed) { chooser_.setMembers(*changed.members); });
         kernel.addInFlight([this] { return routed_.size(); });
         kernel.addStatus("router", [this] {
-            return nlohmann::json{{"calls", routed_.size()}, {"attempts", attempts_.size()}};
+            return nlohmann::json{{"calls", routed_.size()},
+                                  {"attempts", attempts_.size()},
+                                  {"retry_budget", chooser_.retryBudgets()}};
         });
     }
 
--- a/Services/Node/TargetChooser.cpp
+++ b/Services/Node/TargetChooser.cpp
@@ -109,6 +109,14 @@
     return chive::takeRetry(call, end, left, service.budget, now);
 }
 
+std::map<std::string, double> TargetChooser::retryBudgets() const
+{
+    std::map<std::string, double> budgets;
+    for (const auto &[service, state] : services_)
+        budgets.emplace(service, state.budget.tokens);
+    return budgets;
+}
+
 std::vector<const Member *> TargetChooser::membersOf(const std::string &service,
                                                      const std::set<std::string> &tried) const
 {
--- a/Services/Node/TargetChooser.h
+++ b/Services/Node/TargetChooser.h
@@ -51,6 +51,9 @@
                                  const std::set<std::string> &tried, Allowance &left,
                                  TimePoint now);
 
+    /// Retries that may be made now towards each service, beyond the calls' own allowances.
+    [[nodiscard]] std::map<std::string, double> retryBudgets() const;
+
 private:
     struct ServiceState
     {
