--- a/Tests/Integration/TestStatus.cpp
+++ b/Tests/Integration/TestStatus.cpp
@@ -41,7 +41,9 @@
     }
     const std::map<std::string, bool> all{{"a", true}, {"b", true}, {"c", true}};
     RunningMember &asked = mesh.members().front();
-    REQUIRE(mesh.caller().waitUntil([&] { return reachedFrom(mesh, asked) == all; }));
+    Caller &caller = mesh.caller();
+    REQUIRE(caller.waitUntil([&] { return caller.get(asked.admin, "/healthz").status() == 200; }));
+    REQUIRE(caller.waitUntil([&] { return reachedFrom(mesh, asked) == all; }));
 
     SUBCASE("a member that does not answer is shown as not reached")
     {
