--- a/Libraries/LibPolicy/AdaptiveAdmission.cpp
+++ b/Libraries/LibPolicy/AdaptiveAdmission.cpp
@@ -11,9 +11,11 @@
 namespace {
 
 constexpr std::size_t smallestQueue = 4;
-/// Queue lengths by importance, in rounds of the slots. Important work may wait longer, so that it
-/// is not lost to a burst of its own kind.
+/// Queue lengths of short work by importance, in rounds of the slots. Important work may wait
+/// longer, so that it is not lost to a burst of its own kind.
 constexpr std::array<std::size_t, importanceLevels> queueRounds{6, 4, 3, 2};
+/// A round of long work takes much of its deadline; what waits for a second one ends too late.
+constexpr std::size_t longQueueRounds = 1;
 constexpr Milliseconds admittedHold{100}; ///< How long a lowered level is reported.
 constexpr Milliseconds shortestRetryAfter{100};
 constexpr Milliseconds longestRetryAfter{5'000};
@@ -85,9 +87,10 @@
 /// How much work of this importance and more may wait.
 std::size_t queueCapacity(const AdmissionState &state, Duration duration, Importance importance)
 {
-    const std::size_t slots
-            = duration == Duration::Long ? longSlots(state) : currentLimit(state.limit);
-    return queueRounds[static_cast<std::size_t>(importance)] * std::max(smallestQueue, slots);
+    if (duration == Duration::Long)
+        return longQueueRounds * std::max<std::size_t>(smallestQueue, longSlots(state));
+    const std::size_t rounds = queueRounds[static_cast<std::size_t>(importance)];
+    return rounds * std::max<std::size_t>(smallestQueue, currentLimit(state.limit));
 }
 
 /// Queued work of the same duration that is at least as important.
--- a/Utilities/Load/Deployment.cpp
+++ b/Utilities/Load/Deployment.cpp
@@ -17,7 +17,7 @@
 constexpr Milliseconds requestTimeout{2'000};
 constexpr Milliseconds readyTimeout{30'000};
 constexpr Milliseconds readyPause{100};
-constexpr std::size_t answersForReady = 4; ///< In a row, from each service at each node.
+constexpr std::size_t answersForReady = 2; ///< In a row, from each service at each node.
 
 /// The endpoints of one node and its target; the log and the control come first.
 struct NodePorts
