--- a/Libraries/LibNotes/FoldNotes.cpp
+++ b/Libraries/LibNotes/FoldNotes.cpp
@@ -15,6 +15,19 @@
     return found == state.decided.end() ? nullptr : &*found;
 }
 
+/// Keeps states and snapshots small, however many mistakes a note has.
+std::string shortened(std::string reason)
+{
+    constexpr std::size_t maximumReasonSize = 500; // bytes
+    if (reason.size() <= maximumReasonSize)
+        return reason;
+    std::size_t end = maximumReasonSize;
+    // A character of UTF-8 is not cut: its later bytes begin with the bits 10.
+    while (end > 0 && (static_cast<unsigned char>(reason[end]) & 0xC0U) == 0x80U)
+        --end;
+    return reason.substr(0, end) + "...";
+}
+
 Error invalid(std::string reason)
 {
     return {Error::Kind::Invalid, std::move(reason)};
@@ -52,7 +65,7 @@
         state.catalogue.version = version;
         decided.isAccepted = true;
     } else {
-        decided.reason = next.error().message;
+        decided.reason = shortened(std::move(next.error().message));
     }
     state.decided.push_back(std::move(decided));
     if (state.decided.size() > maximumDecidedNotes)
--- a/Libraries/LibNotes/NotesRecord.cpp
+++ b/Libraries/LibNotes/NotesRecord.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/JsonFields.h>
 #include <LibNotes/NotesCodec.h>
+#include <LibNotes/ReleaseNote.h>
 
 namespace chive {
 
@@ -11,6 +12,7 @@
 
 constexpr std::string_view noteType = "note";
 constexpr std::string_view snapshotType = "snapshot";
+constexpr std::size_t maximumNameSize = 256; // bytes
 
 std::string dump(const json &object)
 {
@@ -22,6 +24,13 @@
     return {Error::Kind::Invalid, "no release note and no snapshot"};
 }
 
+/// What is larger can be no valid note; it must not fill the history of every node either.
+bool isBounded(const NoteRecord &note)
+{
+    return note.id.size() <= maximumNameSize && note.buildsOn.size() <= maximumNameSize
+           && note.author.size() <= maximumNameSize && note.toml.size() <= maximumNoteSize;
+}
+
 Result<NotesRecord> decodeNote(const json &object)
 {
     JsonFields fields(object);
@@ -30,7 +39,7 @@
     note.buildsOn = fields.text("builds_on");
     note.author = fields.text("author");
     note.toml = fields.text("toml");
-    if (!fields.isValid() || note.id.empty())
+    if (!fields.isValid() || note.id.empty() || !isBounded(note))
         return malformed();
     return NotesRecord(std::move(note));
 }
--- a/Tests/LibNotes/TestFoldNotes.cpp
+++ b/Tests/LibNotes/TestFoldNotes.cpp
@@ -91,6 +91,25 @@
         CHECK(state.catalogue.head == "first");
     }
 
+    SUBCASE("a note full of mistakes leaves a short reason")
+    {
+        std::string changes;
+        for (int i = 0; i < 2'000; ++i)
+            changes += "\"ü" + std::to_string(i) + "\" = 1\n";
+        const NotesState state = foldAll({first, record("a", "first", changes)});
+        REQUIRE(state.decided.size() == 2);
+        CHECK(state.decided[1].reason.size() < 600);
+        const auto snapshot = decodeNotesRecord(encodeSnapshotRecord(state));
+        REQUIRE(snapshot.has_value());
+        CHECK(std::get<SnapshotRecord>(snapshot.value()).state == state);
+    }
+
+    SUBCASE("a record with an endless id is no note")
+    {
+        const NotesState state = foldAll({first, record(std::string(5'000, 'a'), "first", "")});
+        CHECK(state.decided.size() == 1);
+    }
+
     SUBCASE("text that is no note has no effect")
     {
         const NotesState state = foldAll({first, "", "{}", "[1]", "\xff", "{\"type\":\"note\"}"});
