TestLeaving: Keep the status report alive while it is read

The loop walked a part of a temporary that was already gone, so the state read as empty and the check failed on every run although the report said leaving.

--- a/Tests/Integration/TestLeaving.cpp
+++ b/Tests/Integration/TestLeaving.cpp
@@ -92,7 +92,8 @@
     const CallResult status = caller.get(observer.admin, "/status");
     if (status.status() != 200)
         return {};
-    for (const auto &member : status.json().at("members")) {
+    const nlohmann::json report = status.json();
+    for (const auto &member : report.at("members")) {
         if (member.at("node_id") == nodeId)
             return member.at("state");
     }
