--- a/Libraries/LibCatalogue/Catalogue.h
+++ b/Libraries/LibCatalogue/Catalogue.h
@@ -45,7 +45,7 @@
     Duration duration = Duration::Short;
     Milliseconds deadline{5'000};    ///< Used when the caller names none; also the most allowed.
     std::uint32_t retries = 2;       ///< For the whole tree of calls below one request.
-    std::uint32_t nestedCalls = 256; ///< Calls in the whole tree below one request.
+    std::uint32_t nestedCalls = 512; ///< Calls in the whole tree below one request.
 
     bool operator==(const Kind &) const = default;
 };
