Probe: Measure the latency that the way through the nodes adds

TestNotRun did not always see a refusal that says not-run, since which fault meets a call depends on the machine; it now ends with rounds that can get nothing else.

--- a/Tests/Harness/Mesh.cpp
+++ b/Tests/Harness/Mesh.cpp
@@ -161,6 +161,11 @@
     return {};
 }
 
+Process Mesh::startProbe(const std::vector<std::string> &arguments, const std::string &outputFile)
+{
+    return {CHIVE_PROBE_PROGRAM, arguments, outputFile};
+}
+
 void Mesh::publish(std::string_view id, std::string_view buildsOn, std::string_view toml)
 {
     const nlohmann::json record = {{"type", "note"},
--- a/Tests/Harness/Mesh.h
+++ b/Tests/Harness/Mesh.h
@@ -75,6 +75,10 @@
     /// The /control endpoint of a proxy from `addProxy`.
     [[nodiscard]] Endpoint controlOf(const Endpoint &proxy) const;
 
+    /// Starts the latency probe.
+    [[nodiscard]] static Process startProbe(const std::vector<std::string> &arguments,
+                                            const std::string &outputFile);
+
     /// Appends a release note to the log stream `notes`.
     void publish(std::string_view id, std::string_view buildsOn, std::string_view toml);
 
--- a/Tests/Integration/TestNotRun.cpp
+++ b/Tests/Integration/TestNotRun.cpp
@@ -128,13 +128,22 @@
     for (RunningMember *member : targets)
         member->targetProcess.kill();
     load.send(callsPerFault);
+    // Nobody listens where the targets were announced; then their leases have ended.
+    for (RunningMember *member : targets)
+        member->targetProxyProcess.kill();
+    load.send(callsPerFault);
+    caller.wait(Milliseconds(4000));
+    load.send(callsPerFault);
 
     REQUIRE(caller.waitUntil([&] { return caller.inFlight() == 0; }));
     // Work that a refused call left behind would begin by now.
     caller.wait(Milliseconds(1000));
     const auto runs = countRuns(mesh);
     std::map<std::string, int> counted;
-    for (const auto &[path, result] : load.results()) {
+    int refusedAsNotRun = 0;
+    for (const auto &ended : load.results()) {
+        const std::string &path = ended.first;
+        const CallResult &result = ended.second;
         CAPTURE(path);
         CAPTURE(std::string(result.reason()));
         const auto found = runs.find(path);
@@ -142,8 +151,10 @@
         REQUIRE(result.isWhole);
         REQUIRE(result.execution().has_value());
         ++counted[std::string(nameOf(*result.execution())) + " " + std::string(result.reason())];
-        if (result.execution() == Execution::NotRun)
+        if (result.execution() == Execution::NotRun) {
+            ++refusedAsNotRun;
             CHECK(count == 0);
+        }
         if (result.isAnswer())
             CHECK(count >= 1);
         if (path.starts_with("/write/"))
@@ -153,5 +164,6 @@
         MESSAGE(what, ": ", count);
     CHECK(counted["has-run "] > 0);
     CHECK(counted["may-have-run target-failed"] > 0);
-    CHECK(counted.size() >= 3);
+    // The last round alone can get nothing else.
+    CHECK(refusedAsNotRun >= callsPerFault);
 }
