--- a/Tests/Integration/TestLeaving.cpp
+++ b/Tests/Integration/TestLeaving.cpp
@@ -92,9 +92,10 @@
     const CallResult status = caller.get(observer.admin, "/status");
     if (status.status() != 200)
         return {};
-    for (const auto &member : status.json().at("members")) {
-        if (member.at("node_id") == nodeId)
-            return member.at("state");
+    const nlohmann::json report = status.json();
+    for (const auto &member : report.at("members")) {
+        if (member.at("node_id").get<std::string>() == nodeId)
+            return member.at("state").get<std::string>();
     }
     return {};
 }
