--- a/Libraries/LibLink/Link.cpp
+++ b/Libraries/LibLink/Link.cpp
@@ -1,15 +1,12 @@
 #include <LibLink/Link.h>
 
 #include <LibKernel/EventLoop.h>
+#include <LibKernel/Socket.h>
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/util.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 #include <utility>
 
@@ -20,22 +17,6 @@
 /// A connection that is not open by then counts as failed.
 constexpr timeval connectTimeout{2, 0};
 
-sockaddr_in addressOf(const Endpoint &endpoint)
-{
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(endpoint.port);
-    inet_pton(AF_INET, endpoint.ip.c_str(), &address.sin_addr);
-    return address;
-}
-
-/// Small messages must not wait for the acknowledgement of earlier ones.
-void disableNagle(int socket)
-{
-    const int on = 1;
-    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-}
-
 } // namespace
 
 Link::Link(EventLoop &loop, bufferevent *buffer, WebSocketRole role, std::size_t maximumMessageSize,
--- a/Services/Node/LinkTask.cpp
+++ b/Services/Node/LinkTask.cpp
@@ -1,18 +1,15 @@
 #include <LibKernel/Kernel.h>
+#include <LibKernel/Socket.h>
 #include <LibLink/Link.h>
 #include <LibNode/Messages.h>
 #include <Node/LinkFrame.h>
 
 #include <event2/listener.h>
-#include <event2/util.h>
 #include <glog/logging.h>
-#include <netinet/in.h>
 #include <nlohmann/json.hpp>
 #include <prometheus/counter.h>
 #include <prometheus/registry.h>
 
-#include <arpa/inet.h>
-#include <cstdlib>
 #include <deque>
 #include <map>
 #include <memory>
@@ -65,10 +62,7 @@
     void start() override
     {
         const Endpoint &endpoint = kernel_.settings().links;
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(endpoint.port);
-        inet_pton(AF_INET, endpoint.ip.c_str(), &address.sin_addr);
+        const sockaddr_in address = addressOf(endpoint);
         const auto accept
                 = [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *argument) {
                       static_cast<LinkTask *>(argument)->accept(socket);
--- a/Utilities/FaultProxy/FaultProxy.cpp
+++ b/Utilities/FaultProxy/FaultProxy.cpp
@@ -2,15 +2,14 @@
 
 #include <FaultProxy/ProxyPipe.h>
 #include <LibHttp/HttpServer.h>
+#include <LibKernel/Socket.h>
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <utility>
@@ -23,21 +22,6 @@
 constexpr Milliseconds cutDelay{20};
 constexpr std::size_t maximumControlSize = 64 * 1024;
 
-sockaddr_in addressOf(const Endpoint &endpoint)
-{
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(endpoint.port);
-    inet_pton(AF_INET, endpoint.ip.c_str(), &address.sin_addr);
-    return address;
-}
-
-void sendAtOnce(int socket)
-{
-    const int on = 1;
-    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-}
-
 /// The close sends a reset in place of an orderly end, as a cut does.
 void resetOnClose(int socket)
 {
@@ -66,8 +50,8 @@
         const sockaddr_in address = addressOf(proxy.options_.server);
         bufferevent_socket_connect(server_, reinterpret_cast<const sockaddr *>(&address),
                                    sizeof address);
-        sendAtOnce(socket);
-        sendAtOnce(bufferevent_getfd(server_));
+        disableNagle(socket);
+        disableNagle(bufferevent_getfd(server_));
         bufferevent_enable(client_, EV_READ | EV_WRITE);
         bufferevent_enable(server_, EV_READ | EV_WRITE);
     }
