LibHttp: Keep a connection's record while its response is being written

Now the callbacks' argument decides, and the record takes its watch along. Nested tests cover the count while a response is written.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -172,11 +172,12 @@
         if (info->n_added > 0)
             static_cast<Connection *>(argument)->isReceiving = true;
     };
-    evbuffer_add_cb(bufferevent_get_input(handle), onBytes, this);
+    watch = evbuffer_add_cb(bufferevent_get_input(handle), onBytes, this);
 }
 
 HttpServer::Connection::~Connection()
 {
+    evbuffer_remove_cb_entry(bufferevent_get_input(handle), watch);
     bufferevent_decref(handle);
 }
 
@@ -190,10 +191,11 @@
 void HttpServer::releaseClosed()
 {
     std::erase_if(connections_, [](const auto &entry) {
-        // evhttp takes its callbacks away from a connection that it frees.
-        bufferevent_data_cb onRead = nullptr;
-        bufferevent_getcb(entry.first, &onRead, nullptr, nullptr, nullptr);
-        return onRead == nullptr;
+        // evhttp takes its callbacks and their argument away from a connection that it frees. While
+        // it writes a response only the read callback is missing.
+        void *argument = nullptr;
+        bufferevent_getcb(entry.first, nullptr, nullptr, nullptr, &argument);
+        return argument == nullptr;
     });
 }
 
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -12,6 +12,7 @@
 #include <string_view>
 
 struct bufferevent;
+struct evbuffer_cb_entry;
 struct event;
 struct evhttp;
 struct evhttp_bound_socket;
@@ -86,6 +87,7 @@
         Connection &operator=(const Connection &) = delete;
 
         bufferevent *handle = nullptr; ///< Referenced, so that it never dangles.
+        evbuffer_cb_entry *watch = nullptr;
         bool isReceiving = false;
     };
 
--- a/Tests/LibHttp/TestHttp.cpp
+++ b/Tests/LibHttp/TestHttp.cpp
@@ -197,3 +197,69 @@
         CHECK(bytesOf(second.value().body) == "/second");
     }
 }
+
+TEST_CASE("The server tells how many requests are still being received")
+{
+    EventLoop loop;
+    std::size_t served = 0;
+    auto server = HttpServer::listen(loop, endpoint, bodyLimit,
+                                     [&](const HttpRequest &request, const auto &exchange) {
+                                         ++served;
+                                         exchange->respond({200, {}, request.body});
+                                     });
+    REQUIRE(server.has_value());
+    CHECK(server.value()->receiving() == 0);
+    bufferevent *peer = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bufferevent_enable(peer, EV_READ | EV_WRITE);
+    bufferevent_socket_connect(peer, reinterpret_cast<sockaddr *>(&address), sizeof address);
+    const auto runUntil = [&](const auto &condition) {
+        for (int i = 0; i < 2000 && !condition(); ++i) {
+            const Timer step = loop.after(Milliseconds(1), [&] { loop.stop(); });
+            loop.run();
+        }
+        return condition();
+    };
+    const auto write
+            = [&](std::string_view bytes) { bufferevent_write(peer, bytes.data(), bytes.size()); };
+
+    SUBCASE("one with a part of its body, none once it is whole, again on the next")
+    {
+        for (std::size_t round = 1; round <= 3; ++round) {
+            write("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+            CHECK(runUntil([&] { return server.value()->receiving() == 1; }));
+            write("cd");
+            CHECK(runUntil([&] { return served == round; }));
+            CHECK(server.value()->receiving() == 0);
+        }
+        bufferevent_free(peer);
+    }
+
+    SUBCASE("none when the peer leaves in the middle")
+    {
+        write("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+        CHECK(runUntil([&] { return server.value()->receiving() == 1; }));
+        bufferevent_free(peer);
+        CHECK(runUntil([&] { return server.value()->receiving() == 0; }));
+        CHECK(served == 0);
+    }
+
+    SUBCASE("and looks at it while a long response is being written")
+    {
+        const std::string body(bodyLimit - 100, 'x');
+        write("POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+              + body);
+        CHECK(runUntil([&] { return served == 1; }));
+        bufferevent_disable(peer, EV_READ);
+        CHECK(runUntil([&] { return server.value()->receiving() == 0; }));
+        bufferevent_enable(peer, EV_READ);
+        CHECK(runUntil(
+                [&] { return evbuffer_get_length(bufferevent_get_input(peer)) > body.size(); }));
+        write("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+        CHECK(runUntil([&] { return server.value()->receiving() == 1; }));
+        bufferevent_free(peer);
+    }
+}
