--- a/Services/Node/MembershipTask.cpp
+++ b/Services/Node/MembershipTask.cpp
@@ -193,18 +193,18 @@
     {
         prometheus::Registry &registry = kernel_.metrics();
         auto &members = prometheus::BuildGauge()
-                                .Name("chive_members")
+                                .Name("chiverouter_members")
                                 .Help("Members by state, this node included")
                                 .Register(registry);
         for (auto state :
              {MemberState::Alive, MemberState::Suspect, MemberState::Leaving, MemberState::Dead})
             byState_.push_back(&members.Add({{"state", std::string(nameOf(state))}}));
         auto &events = prometheus::BuildGauge()
-                               .Name("chive_membership_events")
+                               .Name("chiverouter_membership_events")
                                .Help("Events of the membership protocol since the start")
                                .Register(registry);
         auto &sent = prometheus::BuildCounter()
-                             .Name("chive_membership_sent_total")
+                             .Name("chiverouter_membership_sent_total")
                              .Help("What the membership protocol sent, payloads only")
                              .Register(registry);
         bytesSent_ = &sent.Add({{"unit", "bytes"}});
--- a/Services/Node/OnceTask.cpp
+++ b/Services/Node/OnceTask.cpp
@@ -73,23 +73,23 @@
     static OnceMetrics makeMetrics(prometheus::Registry &registry)
     {
         return {prometheus::BuildCounter()
-                        .Name("chive_once_decisions_total")
+                        .Name("chiverouter_once_decisions_total")
                         .Help("Decisions on calls that run at most once, by outcome")
                         .Register(registry),
                 prometheus::BuildHistogram()
-                        .Name("chive_once_wait_seconds")
+                        .Name("chiverouter_once_wait_seconds")
                         .Help("Time from the ask to the decision")
                         .Register(registry),
                 prometheus::BuildGauge()
-                        .Name("chive_once_keys")
+                        .Name("chiverouter_once_keys")
                         .Help("Idempotency keys that are remembered")
                         .Register(registry),
                 prometheus::BuildGauge()
-                        .Name("chive_once_lag_records")
+                        .Name("chiverouter_once_lag_records")
                         .Help("Records in the log that have not been read")
                         .Register(registry),
                 prometheus::BuildGauge()
-                        .Name("chive_once_complete")
+                        .Name("chiverouter_once_complete")
                         .Help("1 when no part of the history of keys is missing")
                         .Register(registry)};
     }
