--- a/Tests/Integration/TestAtMostOnce.cpp
+++ b/Tests/Integration/TestAtMostOnce.cpp
@@ -298,11 +298,11 @@
 
     SUBCASE("never runs twice on a node that starts after retention has passed")
     {
-        LedgerMesh ledger({"--retention-ms=3000"});
+        LedgerMesh ledger({"--retention-ms=6000"});
         StubbornCallers first(ledger.mesh);
         first.sendMany("a", count);
         REQUIRE(first.settle());
-        ledger.mesh.caller().wait(Milliseconds(5'000));
+        ledger.mesh.caller().wait(Milliseconds(9'000));
         for (RunningMember *member : ledger.members) {
             ledger.replace(*member);
             ledger.mesh.caller().wait(Milliseconds(2'500));
