LibHttp: Give request ids that are unique over all clients

When a target came back at another endpoint, its node made a new client whose ids began again at 1; the withdrawal of a call that the old client had sent could then cancel another caller's request (found by reading). Ids now come from one counter of the process.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -26,6 +26,12 @@
 /// that the server sends twice shows itself before it could pass for the answer to another request.
 constexpr Milliseconds restInterval{25};
 
+HttpClient::RequestId nextRequestId()
+{
+    static HttpClient::RequestId last = 0;
+    return ++last;
+}
+
 std::optional<evhttp_cmd_type> commandOf(std::string_view method)
 {
     static constexpr std::pair<std::string_view, evhttp_cmd_type> commands[] = {
@@ -159,7 +165,7 @@
 HttpClient::RequestId HttpClient::send(const HttpRequest &request, Milliseconds timeout,
                                        Callback callback)
 {
-    const RequestId id = nextId_++;
+    const RequestId id = nextRequestId();
     auto owned = std::make_unique<Active>();
     Active *active = owned.get();
     active->client = this;
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -37,6 +37,7 @@
 public:
     using Outcome = outcome::result<HttpResponse, HttpFailure, outcome::policy::all_narrow>;
     using Callback = std::function<void(Outcome)>;
+    /// Unique over all clients of the process, so that an id outlives a change of the client.
     using RequestId = std::uint64_t;
 
     HttpClient(EventLoop &loop, Endpoint server, std::size_t maximumBodySize);
@@ -65,7 +66,6 @@
     EventLoop &loop_;
     Endpoint server_;
     std::size_t maximumBodySize_;
-    RequestId nextId_ = 1;
     std::map<RequestId, std::unique_ptr<Active>> active_;
     std::vector<std::unique_ptr<Connection>> idle_;
     std::vector<std::unique_ptr<Connection>> rested_;  ///< For at least one interval.
--- a/Tests/LibHttp/TestHttp.cpp
+++ b/Tests/LibHttp/TestHttp.cpp
@@ -107,6 +107,7 @@
 {
     EventLoop loop;
     bool isGone = false;
+    HttpClient::RequestId sent = 0;
     std::shared_ptr<HttpExchange> pending;
     HttpClient client(loop, endpoint, bodyLimit);
     auto server = HttpServer::listen(loop, endpoint, bodyLimit,
@@ -116,15 +117,27 @@
                                              isGone = true;
                                              loop.stop();
                                          });
-                                         client.cancel(1);
+                                         client.cancel(sent);
                                      });
     REQUIRE(server.has_value());
-    client.send({}, Milliseconds(2000), [](const auto &) {});
+    sent = client.send({}, Milliseconds(2000), [](const auto &) {});
     const Timer limit = loop.after(Milliseconds(2000), [&] { loop.stop(); });
     loop.run();
     CHECK(isGone);
 }
 
+TEST_CASE("An id of one client cancels nothing at another")
+{
+    EventLoop loop;
+    HttpClient before(loop, nobody, bodyLimit);
+    HttpClient after(loop, nobody, bodyLimit);
+    const auto old = before.send({}, Milliseconds(2000), [](const auto &) {});
+    const auto current = after.send({}, Milliseconds(2000), [](const auto &) {});
+    CHECK(old != current);
+    after.cancel(old);
+    CHECK(after.inFlight() == 1);
+}
+
 TEST_CASE("A failed request says whether any of it was sent")
 {
     EventLoop loop;
