--- a/Libraries/LibCatalogue/Catalogue.h
+++ b/Libraries/LibCatalogue/Catalogue.h
@@ -57,11 +57,43 @@
     std::uint32_t slots = 100;        ///< Requests that one target can run at once.
     std::uint32_t connections = 1000; ///< Connections that one target accepts.
     std::uint32_t longShare = 30;     ///< Percent of the slots that long kinds may hold at most.
+    std::string healthPath = "/health"; ///< Of the targets' health check.
     std::vector<Kind> kinds;
 
     bool operator==(const Service &) const = default;
 };
 
+/// A service's part in the requests of a route.
+struct RouteShare
+{
+    std::string service;
+    double weight = 1.0; ///< Relative to the other parts.
+
+    bool operator==(const RouteShare &) const = default;
+};
+
+/// Requests for one host below one path prefix.
+struct Route
+{
+    std::string name;
+    std::string pathPrefix; ///< Begins and ends with a slash.
+    Kind kind; ///< Its deadline is the longest time that a request may be kept waiting.
+    Milliseconds latencyObjective{1'000}; ///< An answer within it is worth most.
+    std::vector<RouteShare> shares;       ///< Never empty.
+
+    bool operator==(const Route &) const = default;
+};
+
+/// The routes of each host, the longest prefix first.
+using RouteTable = std::map<std::string, std::vector<Route>, std::less<>>;
+
+/// The route of that host with the longest prefix that begins the path, or null.
+[[nodiscard]] const Route *findRoute(const RouteTable &routes, std::string_view host,
+                                     std::string_view path);
+
+/// Sorts the routes of each host as findRoute() expects.
+void sortRoutes(RouteTable &routes);
+
 /// All that is in force after the latest accepted release note.
 struct Catalogue
 {
@@ -69,6 +101,8 @@
     std::uint64_t offset = 0;  ///< Offset of that note in the log.
     std::uint64_t version = 0; ///< Count of accepted notes.
     std::map<std::string, Service, std::less<>> services;
+    RouteTable routes; ///< Where requests are told apart by host and path instead of by service.
+    Milliseconds idleTimeout{0}; ///< How long callers may keep a connection idle; 0: any time.
 
     bool operator==(const Catalogue &) const = default;
 };
--- a/Libraries/LibCore/Verdict.cpp
+++ b/Libraries/LibCore/Verdict.cpp
@@ -16,7 +16,7 @@
         {Execution::HasRun, "has-run"},
 }};
 
-constexpr std::array<NameTable<Reason>, 18> reasonNames{{
+constexpr std::array<NameTable<Reason>, 19> reasonNames{{
         {Reason::BadRequest, "bad-request"},
         {Reason::UnknownService, "unknown-service"},
         {Reason::UnknownKind, "unknown-kind"},
@@ -35,6 +35,7 @@
         {Reason::IncompleteAnswer, "incomplete-answer"},
         {Reason::LinkLost, "link-lost"},
         {Reason::Cancelled, "cancelled"},
+        {Reason::NotReady, "not-ready"},
 }};
 
 template<typename Table, typename Value>
--- a/Libraries/LibCore/Verdict.h
+++ b/Libraries/LibCore/Verdict.h
@@ -36,6 +36,7 @@
     IncompleteAnswer,  ///< The answer was shorter than it said, or its end could not be seen.
     LinkLost,          ///< The link to the other node broke while the request was out.
     Cancelled,
+    NotReady, ///< The node knows no configuration yet.
 };
 
 /// The refusal of a request: why, and whether the request may have run. Only NotRun permits a
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -1,30 +1,33 @@
 #include <LibHttp/HttpClient.h>
 
+#include <LibHttp/ResponseReader.h>
 #include <LibKernel/EventLoop.h>
+#include <LibKernel/Socket.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/http.h>
-#include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
-#include <iterator>
-#include <optional>
+#include <charconv>
 #include <utility>
 
 namespace chive {
 
 namespace {
 
-constexpr std::size_t maximumIdleConnections = 256;
+constexpr std::size_t maximumIdleConnections = 512;
 
-/// A connection is used again only after it rested between one and two of these, so that a response
-/// that the server sends twice shows itself before it could pass for the answer to another request.
-constexpr Milliseconds restInterval{25};
+/// Idle connections are looked over this often.
+constexpr Milliseconds idleCheckInterval{250};
+/// How long a connection rests at most when the server does not say. Servers seldom close sooner.
+constexpr Milliseconds idleLimit{4'000};
+/// How long before the time that the server names a connection is given up, so that no request
+/// crosses the server's close.
+constexpr Milliseconds idleMargin{1'500};
 
 HttpClient::RequestId nextRequestId()
 {
@@ -32,112 +35,117 @@
     return ++last;
 }
 
-std::optional<evhttp_cmd_type> commandOf(std::string_view method)
+/// Headers that this client sets itself.
+bool isFramingHeader(std::string_view name)
 {
-    static constexpr std::pair<std::string_view, evhttp_cmd_type> commands[] = {
-            {"GET", EVHTTP_REQ_GET},         {"POST", EVHTTP_REQ_POST},
-            {"HEAD", EVHTTP_REQ_HEAD},       {"PUT", EVHTTP_REQ_PUT},
-            {"DELETE", EVHTTP_REQ_DELETE},   {"PATCH", EVHTTP_REQ_PATCH},
-            {"OPTIONS", EVHTTP_REQ_OPTIONS},
-    };
-    for (const auto &[name, command] : commands) {
-        if (name == method)
-            return command;
-    }
-    return std::nullopt;
+    static constexpr std::array<std::string_view, 4> framing{"Connection", "Content-Length",
+                                                             "Transfer-Encoding", "Keep-Alive"};
+    return std::ranges::any_of(framing, [&](std::string_view header) {
+        return isSameHeaderName(name, header);
+    });
+}
+
+bool usuallyHasBody(std::string_view method)
+{
+    return method == "POST" || method == "PUT" || method == "PATCH";
 }
 
-/// RFC 9112 section 6.3: these responses have no body whatever their headers say.
-bool hasNoBody(std::string_view method, int status)
+std::string formatHead(const HttpRequest &request, const Endpoint &server)
 {
-    return method == "HEAD" || status < 200 || status == 204 || status == 304;
+    std::string head;
+    head.reserve(512);
+    head.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    if (findHeader(request.headers, "Host").empty())
+        head.append("Host: ").append(server.ip).append("\r\n");
+    for (const auto &[name, value] : request.headers) {
+        if (!isFramingHeader(name))
+            head.append(name).append(": ").append(value).append("\r\n");
+    }
+    const std::size_t size = bytesOf(request.body).size();
+    if (size > 0 || usuallyHasBody(request.method))
+        head.append("Content-Length: ").append(std::to_string(size)).append("\r\n");
+    head.append("\r\n");
+    return head;
 }
 
-HttpResponse readResponse(evhttp_request *request)
+/// The time for which the server keeps an idle connection, from `Keep-Alive: timeout=SECONDS`.
+Milliseconds idleLimitOf(std::span<const Header> headers)
 {
-    HttpResponse response;
-    response.status = evhttp_request_get_response_code(request);
-    const evkeyvalq *headers = evhttp_request_get_input_headers(request);
-    for (const evkeyval *header = headers->tqh_first; header != nullptr;
-         header = header->next.tqe_next)
-        response.headers.emplace_back(header->key, header->value);
-    evbuffer *input = evhttp_request_get_input_buffer(request);
-    std::string body(evbuffer_get_length(input), '\0');
-    evbuffer_copyout(input, body.data(), body.size());
-    response.body = makeBody(std::move(body));
-    return response;
+    const std::string_view text = findHeader(headers, "Keep-Alive");
+    constexpr std::string_view name = "timeout=";
+    const auto start = text.find(name);
+    if (start == std::string_view::npos)
+        return idleLimit;
+    std::int64_t seconds = 0;
+    std::from_chars(text.data() + start + name.size(), text.data() + text.size(), seconds);
+    return std::max(Milliseconds(seconds * 1000) - idleMargin, Milliseconds(0));
 }
 
 } // namespace
 
 struct HttpClient::Connection
 {
-    evhttp_connection *handle = nullptr;
+    HttpClient &client;
+    bufferevent *handle = nullptr;
+    Active *active = nullptr;  ///< The request that is out, or null while idle.
     std::size_t bytesSent = 0; ///< Of the current request, as taken by the kernel.
+    bool hasAnswered = false;  ///< A response has come on it before.
+    Milliseconds idleFor{0};
+    Milliseconds idleLimit{0};
 
-    Connection(EventLoop &loop, const Endpoint &server, std::size_t maximumBodySize)
+    explicit Connection(HttpClient &owner)
+        : client(owner)
     {
-        handle = evhttp_connection_base_new(loop.base(), nullptr, server.ip.c_str(), server.port);
-        evhttp_connection_set_max_body_size(handle, static_cast<ev_ssize_t>(maximumBodySize));
-        evbuffer *output = bufferevent_get_output(evhttp_connection_get_bufferevent(handle));
+        handle = bufferevent_socket_new(owner.loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
         const auto count = [](evbuffer *, const evbuffer_cb_info *info, void *argument) {
             static_cast<Connection *>(argument)->bytesSent += info->n_deleted;
         };
-        evbuffer_add_cb(output, count, this);
+        evbuffer_add_cb(bufferevent_get_output(handle), count, this);
+        const auto onReadable = [](bufferevent *, void *argument) {
+            auto *self = static_cast<Connection *>(argument);
+            self->client.handleReadable(*self);
+        };
+        const auto onEvent = [](bufferevent *, short what, void *argument) {
+            auto *self = static_cast<Connection *>(argument);
+            self->client.handleEvent(*self, what);
+        };
+        bufferevent_setcb(handle, onReadable, nullptr, onEvent, this);
+        bufferevent_enable(handle, EV_READ | EV_WRITE);
+        const sockaddr_in address = addressOf(owner.server_);
+        bufferevent_socket_connect(handle, reinterpret_cast<const sockaddr *>(&address),
+                                   sizeof address);
     }
-    ~Connection() { evhttp_connection_free(handle); }
+    ~Connection() { bufferevent_free(handle); }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
 
-    /// Whether the connection is open and holds no byte. Bytes that nobody asked for, such as a
-    /// response sent twice, would be taken for the answer to the next request; and a request on a
-    /// connection that the server has closed fails without a word on whether it ran.
+    /// Whether the connection is open and holds no byte. A request on a connection that the server
+    /// has closed fails without a word on whether it ran.
     [[nodiscard]] bool isQuiet() const
     {
-        bufferevent *buffer = evhttp_connection_get_bufferevent(handle);
-        if (evbuffer_get_length(bufferevent_get_input(buffer)) != 0)
+        if (evbuffer_get_length(bufferevent_get_input(handle)) != 0)
             return false;
         char byte = 0;
-        const ssize_t size = recv(bufferevent_getfd(buffer), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const ssize_t size = recv(bufferevent_getfd(handle), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     }
-    Connection(const Connection &) = delete;
-    Connection &operator=(const Connection &) = delete;
+
+    [[nodiscard]] bool hasUnsentBytes() const
+    {
+        return evbuffer_get_length(bufferevent_get_output(handle)) != 0;
+    }
 };
 
 struct HttpClient::Active
 {
-    HttpClient *client = nullptr;
     RequestId id = 0;
     std::string method;
+    ResponseRules rules;
     std::unique_ptr<Connection> connection;
+    std::unique_ptr<ResponseReader> reader;
+    bool hasSkipped = false; ///< A response to another request has come before.
     Callback callback;
-
-    void handleResponse(evhttp_request *request)
-    {
-        if (request == nullptr || evhttp_request_get_response_code(request) == 0) {
-            fail("the connection failed before a whole response came");
-            return;
-        }
-        HttpResponse response = readResponse(request);
-        const bool isFramed = !findHeader(response.headers, "Content-Length").empty()
-                              || !findHeader(response.headers, "Transfer-Encoding").empty();
-        if (!isFramed && !hasNoBody(method, response.status)) {
-            // The end of such a body is the end of the connection, where a cut looks the same.
-            client->finish(id,
-                           HttpFailure{HttpFailure::Stage::Incomplete,
-                                       "the response has no length and no chunks"},
-                           false);
-            return;
-        }
-        const bool closes = isSameHeaderName(findHeader(response.headers, "Connection"), "close");
-        client->finish(id, std::move(response), !closes);
-    }
-
-    void fail(std::string message)
-    {
-        const auto stage = connection->bytesSent == 0 ? HttpFailure::Stage::NotSent
-                                                      : HttpFailure::Stage::Sent;
-        client->finish(id, HttpFailure{stage, std::move(message)}, false);
-    }
+    Timer limit;
 };
 
 HttpClient::HttpClient(EventLoop &loop, Endpoint server, std::size_t maximumBodySize)
@@ -159,94 +167,181 @@
         connection->bytesSent = 0;
         return connection;
     }
-    return std::make_unique<Connection>(loop_, server_, maximumBodySize_);
+    return std::make_unique<Connection>(*this);
 }
 
 HttpClient::RequestId HttpClient::send(const HttpRequest &request, Milliseconds timeout,
-                                       Callback callback)
+                                       Callback callback, ResponseRules rules)
 {
-    const RequestId id = nextRequestId();
     auto owned = std::make_unique<Active>();
-    Active *active = owned.get();
-    active->client = this;
-    active->id = id;
-    active->method = request.method;
-    active->callback = std::move(callback);
-    active->connection = takeConnection();
-    active_.emplace(id, std::move(owned));
-
-    const auto command = commandOf(request.method);
-    const auto done = [](evhttp_request *response, void *argument) {
-        static_cast<Active *>(argument)->handleResponse(response);
+    Active &active = *owned;
+    active.id = nextRequestId();
+    active.method = request.method;
+    active.rules = std::move(rules);
+    active.callback = std::move(callback);
+    active.reader = std::make_unique<ResponseReader>(active.method, maximumBodySize_);
+    active.connection = takeConnection();
+    active.connection->active = &active;
+    active_.emplace(active.id, std::move(owned));
+    active.limit = loop_.after(timeout, [this, id = active.id] {
+        const auto found = active_.find(id);
+        if (found != active_.end())
+            fail(*found->second, "no response in time");
+    });
+    write(*active.connection, request);
+    return active.id;
+}
+
+void HttpClient::write(Connection &connection, const HttpRequest &request) const
+{
+    evbuffer *output = bufferevent_get_output(connection.handle);
+    const std::string head = formatHead(request, server_);
+    evbuffer_add(output, head.data(), head.size());
+    const std::string_view body = bytesOf(request.body);
+    if (body.empty())
+        return;
+    auto *owner = new std::shared_ptr<const std::string>(request.body);
+    const auto release = [](const void *, std::size_t, void *argument) {
+        delete static_cast<std::shared_ptr<const std::string> *>(argument);
     };
-    evhttp_request *outgoing = evhttp_request_new(done, active);
-    evkeyvalq *headers = evhttp_request_get_output_headers(outgoing);
-    evhttp_add_header(headers, "Host", server_.ip.c_str());
-    for (const auto &[name, value] : request.headers) {
-        if (!isSameHeaderName(name, "Host") && !isSameHeaderName(name, "Connection")
-            && !isSameHeaderName(name, "Content-Length")
-            && !isSameHeaderName(name, "Transfer-Encoding"))
-            evhttp_add_header(headers, name.c_str(), value.c_str());
+    evbuffer_add_reference(output, body.data(), body.size(), release, owner);
+}
+
+void HttpClient::handleReadable(Connection &connection)
+{
+    evbuffer *input = bufferevent_get_input(connection.handle);
+    while (connection.active != nullptr) {
+        Active &active = *connection.active;
+        const std::size_t size = evbuffer_get_contiguous_space(input);
+        if (size == 0)
+            return;
+        const auto *bytes = reinterpret_cast<const char *>(
+                evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
+        evbuffer_drain(input, active.reader->feed({bytes, size}));
+        if (active.reader->state() == ResponseReader::State::Complete)
+            handleResponse(active);
+        else if (active.reader->state() == ResponseReader::State::Malformed)
+            fail(active, "the server sent bytes that are no response");
     }
-    const std::string_view body = bytesOf(request.body);
-    if (!body.empty()) {
-        auto *owner = new std::shared_ptr<const std::string>(request.body);
-        const auto release = [](const void *, std::size_t, void *argument) {
-            delete static_cast<std::shared_ptr<const std::string> *>(argument);
-        };
-        evbuffer_add_reference(evhttp_request_get_output_buffer(outgoing), body.data(), body.size(),
-                               release, owner);
+    // Nobody asked for these bytes: no request may follow on this connection.
+    if (evbuffer_get_length(input) > 0)
+        dropIdle(connection);
+}
+
+void HttpClient::handleResponse(Active &active)
+{
+    HttpResponse response = active.reader->take();
+    const EchoedHeader &echo = active.rules.echo;
+    const bool expectsEcho = !echo.name.empty();
+    const std::string_view echoed = expectsEcho ? findHeader(response.headers, echo.name) : "";
+    const bool isTied = expectsEcho && echoed == echo.value;
+    if (!echoed.empty() && !isTied) {
+        // A late second response to the request before. The one that is due may still follow.
+        active.hasSkipped = true;
+        active.reader = std::make_unique<ResponseReader>(active.method, maximumBodySize_);
+        return;
     }
-    evhttp_connection *connection = active->connection->handle;
-    const timeval limit{timeout.count() / 1000, (timeout.count() % 1000) * 1000};
-    evhttp_connection_set_timeout_tv(connection, &limit);
-    const bool isStarted
-            = command.has_value()
-              && evhttp_make_request(connection, outgoing, *command, request.target.c_str()) == 0;
-    if (!isStarted) {
-        loop_.post([this, id] {
-            finish(id, HttpFailure{HttpFailure::Stage::NotSent, "the request cannot be sent"},
-                   false);
-        });
+    Connection &connection = *active.connection;
+    const bool isFirst = !std::exchange(connection.hasAnswered, true);
+    if (expectsEcho && !isTied && (!isFirst || active.hasSkipped)) {
+        fail(active, "the response does not say to which request it belongs");
+        return;
     }
-    return id;
+    connection.idleLimit = idleLimitOf(response.headers);
+    const bool isQuiet = evbuffer_get_length(bufferevent_get_input(connection.handle)) == 0
+                         && !connection.hasUnsentBytes();
+    const bool isTrusted = !expectsEcho && trustsServer_;
+    const bool isReusable = (isTied || isTrusted) && !active.hasSkipped && isQuiet
+                            && active.reader->keepsConnection();
+    finish(active, std::move(response), isReusable);
+}
+
+void HttpClient::handleEvent(Connection &connection, short what)
+{
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        disableNagle(bufferevent_getfd(connection.handle));
+        if (detectsSilence_)
+            failWhenSilent(bufferevent_getfd(connection.handle));
+        return;
+    }
+    if (connection.active == nullptr) {
+        dropIdle(connection);
+        return;
+    }
+    Active &active = *connection.active;
+    // A reset cuts a body without a length; only an orderly close ends it.
+    if ((what & BEV_EVENT_EOF) != 0 && active.rules.bodyEnd == BodyEnd::FramedOrClose)
+        active.reader->finishAtClose();
+    if (active.reader->state() == ResponseReader::State::Complete)
+        handleResponse(active);
+    if (connection.active != nullptr)
+        fail(active, "the connection failed before a whole response came");
+}
+
+void HttpClient::fail(Active &active, std::string message)
+{
+    auto stage = HttpFailure::Stage::Sent;
+    if (active.connection->bytesSent == 0)
+        stage = HttpFailure::Stage::NotSent;
+    else if (active.reader->state() != ResponseReader::State::Empty)
+        stage = HttpFailure::Stage::Incomplete;
+    finish(active, HttpFailure{stage, std::move(message)}, false);
 }
 
 void HttpClient::cancel(RequestId id)
 {
     const auto found = active_.find(id);
-    if (found != active_.end())
-        found->second->fail("cancelled");
+    if (found == active_.end())
+        return;
+    Active &active = *found->second;
+    const auto stage = active.connection->bytesSent == 0 ? HttpFailure::Stage::NotSent
+                                                         : HttpFailure::Stage::Sent;
+    finish(active, HttpFailure{stage, "cancelled"}, false);
 }
 
-void HttpClient::rest(std::unique_ptr<Connection> connection)
+void HttpClient::keepIdle(std::unique_ptr<Connection> connection)
 {
-    resting_.push_back(std::move(connection));
-    if (!restTimer_.isActive())
-        restTimer_ = loop_.every(restInterval, [this] { endRest(); });
+    connection->idleFor = Milliseconds(0);
+    idle_.push_back(std::move(connection));
+    if (!idleTimer_.isActive())
+        idleTimer_ = loop_.every(idleCheckInterval, [this] { ageIdle(); });
 }
 
-void HttpClient::endRest()
+void HttpClient::ageIdle()
 {
-    std::move(rested_.begin(), rested_.end(), std::back_inserter(idle_));
-    rested_ = std::exchange(resting_, {});
-    if (rested_.empty())
-        restTimer_.cancel();
+    std::erase_if(idle_, [](const auto &connection) {
+        connection->idleFor += idleCheckInterval;
+        return connection->idleFor >= connection->idleLimit;
+    });
+    if (idle_.empty())
+        idleTimer_.cancel();
 }
 
-void HttpClient::finish(RequestId id, Outcome outcome, bool isReusable)
+void HttpClient::dropIdle(const Connection &connection)
 {
-    const auto found = active_.find(id);
-    if (found == active_.end())
-        return;
-    std::shared_ptr<Active> active = std::move(found->second);
+    std::erase_if(idle_, [&](const auto &idle) { return idle.get() == &connection; });
+}
+
+void HttpClient::finish(Active &active, Outcome outcome, bool isReusable)
+{
+    const auto found = active_.find(active.id);
+    std::shared_ptr<Active> ended = std::move(found->second);
     active_.erase(found);
-    if (isReusable && idle_.size() < maximumIdleConnections)
-        rest(std::move(active->connection));
-    // evhttp must not lose its connection, nor be called again, inside its own callback.
-    loop_.post([active = std::move(active), outcome = std::move(outcome)]() mutable {
-        active->connection.reset();
-        active->callback(std::move(outcome));
+    ended->limit.cancel();
+    std::unique_ptr<Connection> connection = std::move(ended->connection);
+    connection->active = nullptr;
+    if (isReusable && idle_.size() < maximumIdleConnections) {
+        keepIdle(std::move(connection));
+    } else {
+        // No further event may reach a connection that waits to be freed.
+        bufferevent_disable(connection->handle, EV_READ | EV_WRITE);
+        bufferevent_setcb(connection->handle, nullptr, nullptr, nullptr, nullptr);
+    }
+    // The connection is freed outside its own callbacks.
+    loop_.post([ended = std::move(ended), gone = std::shared_ptr(std::move(connection)),
+                outcome = std::move(outcome)]() mutable {
+        gone.reset();
+        ended->callback(std::move(outcome));
     });
 }
 
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -12,10 +12,9 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
-struct evhttp_connection;
-
 namespace chive {
 
 /// Why an HTTP request got no whole response.
@@ -31,7 +30,33 @@
     std::string message;
 };
 
-/// A client of one server, with a pool of kept connections (evhttp), one request on each at a time.
+/// A header that the server is expected to repeat from the request, so that a response can be tied
+/// to it.
+struct EchoedHeader
+{
+    std::string_view name; ///< Empty: the server repeats none.
+    std::string value;
+};
+
+/// Where the body of a response may end.
+enum class BodyEnd : std::uint8_t {
+    Framed,        ///< By its length or its last chunk only.
+    FramedOrClose, ///< Also by an orderly close of the connection, RFC 9112 section 6.3.
+};
+
+/// What a response must be to count as the answer to its request.
+struct ResponseRules
+{
+    EchoedHeader echo;
+    BodyEnd bodyEnd = BodyEnd::Framed;
+};
+
+/// A client of one server, with a pool of kept connections, one request on each at a time.
+///
+/// Where an echoed header is asked for, a response that bears another value belongs to another
+/// request and is skipped, and a connection is used again only after a response that bore the
+/// value. Surplus bytes, an answer before the whole request was sent and any other irregularity
+/// close the connection. evhttp's client shows none of these, so this one reads with http_parser.
 class HttpClient
 {
 public:
@@ -45,9 +70,18 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    /// Sends the request; calls back exactly once, never inside this call. The timeout counts
-    /// silence on the connection; callers that need a total limit cancel.
-    RequestId send(const HttpRequest &request, Milliseconds timeout, Callback callback);
+    /// From now on connections are used again also where no echoed header is asked for. Only for
+    /// servers that are known to send one response to each request.
+    void trustServer() { trustsServer_ = true; }
+
+    /// From now on, new connections that fall silent without a reset fail within a few seconds also
+    /// while nothing is due on them.
+    void detectSilentConnections() { detectsSilence_ = true; }
+
+    /// Sends the request; calls back exactly once, never inside this call. A request without a
+    /// response after the timeout fails.
+    RequestId send(const HttpRequest &request, Milliseconds timeout, Callback callback,
+                   ResponseRules rules = {});
 
     /// Closes the request's connection. The callback is called with Stage::Sent or NotSent.
     void cancel(RequestId id);
@@ -59,18 +93,24 @@
     struct Active;
 
     std::unique_ptr<Connection> takeConnection();
-    void rest(std::unique_ptr<Connection> connection);
-    void endRest();
-    void finish(RequestId id, Outcome outcome, bool isReusable);
+    void write(Connection &connection, const HttpRequest &request) const;
+    void handleReadable(Connection &connection);
+    void handleEvent(Connection &connection, short what);
+    void handleResponse(Active &active);
+    void fail(Active &active, std::string message);
+    void finish(Active &active, Outcome outcome, bool isReusable);
+    void dropIdle(const Connection &connection);
+    void keepIdle(std::unique_ptr<Connection> connection);
+    void ageIdle();
 
     EventLoop &loop_;
     Endpoint server_;
     std::size_t maximumBodySize_;
+    bool trustsServer_ = false;
+    bool detectsSilence_ = false;
     std::map<RequestId, std::unique_ptr<Active>> active_;
     std::vector<std::unique_ptr<Connection>> idle_;
-    std::vector<std::unique_ptr<Connection>> rested_;  ///< For at least one interval.
-    std::vector<std::unique_ptr<Connection>> resting_; ///< For less than one interval.
-    Timer restTimer_;
+    Timer idleTimer_;
 };
 
 } // namespace chive
--- /dev/null
+++ b/Libraries/LibHttp/ResponseReader.cpp
@@ -0,0 +1,142 @@
+#include <LibHttp/ResponseReader.h>
+
+#include <http_parser.h>
+
+#include <utility>
+
+namespace chive {
+
+namespace {
+
+constexpr int firstFinalStatus = 200; ///< RFC 9110 section 15: 1xx are interim responses.
+
+} // namespace
+
+struct ResponseReader::Parser
+{
+    http_parser machine{};
+    http_parser_settings callbacks{};
+    State state = State::Empty;
+    bool isHead = false;
+    bool isNameOpen = false; ///< The latest header bytes belong to a name.
+    std::size_t maximumBodySize = 0;
+    HttpResponse response;
+    std::string body;
+
+    static Parser &of(http_parser *machine) { return *static_cast<Parser *>(machine->data); }
+
+    void reset()
+    {
+        http_parser_init(&machine, HTTP_RESPONSE);
+        machine.data = this;
+        response = {};
+        body.clear();
+        isNameOpen = false;
+    }
+
+    static int onHeaderName(http_parser *machine, const char *bytes, std::size_t size)
+    {
+        Parser &self = of(machine);
+        if (!std::exchange(self.isNameOpen, true))
+            self.response.headers.emplace_back();
+        self.response.headers.back().first.append(bytes, size);
+        return 0;
+    }
+
+    static int onHeaderValue(http_parser *machine, const char *bytes, std::size_t size)
+    {
+        Parser &self = of(machine);
+        self.isNameOpen = false;
+        self.response.headers.back().second.append(bytes, size);
+        return 0;
+    }
+
+    static int onHeadersComplete(http_parser *machine)
+    {
+        constexpr int skipBody = 1;
+        return of(machine).isHead ? skipBody : 0;
+    }
+
+    static int onBody(http_parser *machine, const char *bytes, std::size_t size)
+    {
+        Parser &self = of(machine);
+        if (self.body.size() + size > self.maximumBodySize)
+            return 1;
+        self.body.append(bytes, size);
+        return 0;
+    }
+
+    static int onComplete(http_parser *machine)
+    {
+        Parser &self = of(machine);
+        if (machine->status_code >= firstFinalStatus)
+            self.state = State::Complete;
+        // Bytes that follow belong to no response that was asked for.
+        http_parser_pause(machine, 1);
+        return 0;
+    }
+};
+
+ResponseReader::ResponseReader(std::string_view method, std::size_t maximumBodySize)
+    : parser_(std::make_unique<Parser>())
+{
+    parser_->isHead = method == "HEAD";
+    parser_->maximumBodySize = maximumBodySize;
+    http_parser_settings_init(&parser_->callbacks);
+    parser_->callbacks.on_header_field = Parser::onHeaderName;
+    parser_->callbacks.on_header_value = Parser::onHeaderValue;
+    parser_->callbacks.on_headers_complete = Parser::onHeadersComplete;
+    parser_->callbacks.on_body = Parser::onBody;
+    parser_->callbacks.on_message_complete = Parser::onComplete;
+    parser_->reset();
+}
+
+ResponseReader::~ResponseReader() = default;
+
+std::size_t ResponseReader::feed(std::string_view bytes)
+{
+    Parser &parser = *parser_;
+    std::size_t taken = 0;
+    while (taken < bytes.size()
+           && (parser.state == State::Empty || parser.state == State::Reading)) {
+        parser.state = State::Reading;
+        taken += http_parser_execute(&parser.machine, &parser.callbacks, bytes.data() + taken,
+                                     bytes.size() - taken);
+        const auto error = HTTP_PARSER_ERRNO(&parser.machine);
+        if (error != HPE_OK && error != HPE_PAUSED)
+            parser.state = State::Malformed;
+        else if (error == HPE_PAUSED && parser.state == State::Reading)
+            parser.reset(); // An interim response has ended.
+    }
+    return taken;
+}
+
+void ResponseReader::finishAtClose()
+{
+    Parser &parser = *parser_;
+    if (parser.state != State::Reading)
+        return;
+    http_parser_execute(&parser.machine, &parser.callbacks, nullptr, 0);
+    if (parser.state == State::Reading)
+        parser.state = State::Malformed;
+}
+
+ResponseReader::State ResponseReader::state() const
+{
+    return parser_->state;
+}
+
+bool ResponseReader::keepsConnection() const
+{
+    return http_should_keep_alive(&parser_->machine) != 0;
+}
+
+HttpResponse ResponseReader::take()
+{
+    parser_->response.status = static_cast<int>(parser_->machine.status_code);
+    if (!parser_->body.empty())
+        parser_->response.body = makeBody(std::move(parser_->body));
+    return std::move(parser_->response);
+}
+
+} // namespace chive
--- a/Libraries/LibKernel/Kernel.cpp
+++ b/Libraries/LibKernel/Kernel.cpp
@@ -43,8 +43,10 @@
 
 void Kernel::run()
 {
-    for (const TaskPlugin &plugin : Registry<TaskPlugin>::all())
-        tasks_.push_back(plugin.create(*this));
+    for (const TaskPlugin &plugin : Registry<TaskPlugin>::all()) {
+        if (plugin.isWanted == nullptr || plugin.isWanted(settings_))
+            tasks_.push_back(plugin.create(*this));
+    }
     for (const auto &task : tasks_)
         task->start();
     loop_.run();
--- a/Libraries/LibKernel/Kernel.h
+++ b/Libraries/LibKernel/Kernel.h
@@ -39,6 +39,8 @@
 {
     std::string_view name;
     std::unique_ptr<Task> (*create)(Kernel &kernel) = nullptr;
+    /// Whether a node with these settings needs the task; null: every node does.
+    bool (*isWanted)(const Settings &settings) = nullptr;
 };
 
 /// What a task may use of its process, and the owner of all tasks.
@@ -62,7 +64,7 @@
     void addInFlight(std::function<std::size_t()> count);
     [[nodiscard]] std::size_t inFlight() const;
 
-    /// Creates every registered task, starts them and runs until the loop stops.
+    /// Creates every registered task that the settings want, starts them and runs until the loop stops.
     void run();
 
 private:
--- a/Libraries/LibKernel/Socket.cpp
+++ b/Libraries/LibKernel/Socket.cpp
@@ -21,4 +21,17 @@
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
+void failWhenSilent(int socket)
+{
+    const int on = 1;
+    const int probeInterval = 1; // seconds
+    const int probes = 3;
+    const int unacknowledged = 3'000; // ms
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &probeInterval, sizeof probeInterval);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &probeInterval, sizeof probeInterval);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged, sizeof unacknowledged);
+}
+
 } // namespace chive
--- a/Libraries/LibKernel/Socket.h
+++ b/Libraries/LibKernel/Socket.h
@@ -13,4 +13,8 @@
 /// Small messages must not wait for the acknowledgement of earlier ones (RFC 9293, 3.7.4).
 void disableNagle(int socket);
 
+/// Makes the socket fail within about four seconds when the peer does not acknowledge: by probes
+/// while it is idle, by TCP_USER_TIMEOUT (RFC 5482) while bytes are out.
+void failWhenSilent(int socket);
+
 } // namespace chive
--- a/Libraries/LibLink/Link.cpp
+++ b/Libraries/LibLink/Link.cpp
@@ -79,6 +79,7 @@
 {
     evutil_make_socket_nonblocking(socket);
     disableNagle(socket);
+    failWhenSilent(socket);
     bufferevent *buffer = bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
     std::unique_ptr<Link> link(
             new Link(loop, buffer, WebSocketRole::Server, maximumMessageSize, std::move(events)));
@@ -107,6 +108,7 @@
 {
     if ((what & BEV_EVENT_CONNECTED) != 0) {
         disableNagle(bufferevent_getfd(buffer_));
+        failWhenSilent(bufferevent_getfd(buffer_));
         session_->start();
         return;
     }
--- a/Libraries/LibLog/LogClient.cpp
+++ b/Libraries/LibLog/LogClient.cpp
@@ -59,7 +59,9 @@
 
 LogClient::LogClient(EventLoop &loop, const Endpoint &service)
     : client_(loop, service, maximumPageSize)
-{}
+{
+    client_.trustServer();
+}
 
 LogClient::RequestId LogClient::append(std::string_view stream, std::string payload,
                                        Milliseconds timeout,
--- a/Services/Node/LocalTarget.cpp
+++ b/Libraries/LibNode/Announcement.cpp
@@ -1,4 +1,4 @@
-#include <Node/LocalTarget.h>
+#include <LibNode/Announcement.h>
 
 #include <nlohmann/json.hpp>
 
@@ -60,4 +60,16 @@
     return announcement;
 }
 
+AnnouncementOrder orderOf(const Announcement &held, const Announcement &next)
+{
+    const bool isSameStart = held.targetId == next.targetId && held.startedAt == next.startedAt
+                             && held.endpoint == next.endpoint;
+    if (!isSameStart)
+        return next.startedAt < held.startedAt ? AnnouncementOrder::Stale
+                                               : AnnouncementOrder::NewStart;
+    const bool isOrdered = next.sequence != 0;
+    return isOrdered && next.sequence <= held.sequence ? AnnouncementOrder::Stale
+                                                       : AnnouncementOrder::Update;
+}
+
 } // namespace chive
--- a/Libraries/LibNode/CallCodec.cpp
+++ b/Libraries/LibNode/CallCodec.cpp
@@ -123,7 +123,7 @@
 {
     Verdict verdict;
     verdict.execution = decodeEnum(value.at("execution"), Execution::HasRun);
-    verdict.reason = decodeEnum(value.at("reason"), Reason::Cancelled);
+    verdict.reason = decodeEnum(value.at("reason"), Reason::NotReady);
     verdict.retriedBelow = value.at("below").get<bool>();
     verdict.detail = value.at("detail").get<std::string>();
     if (value.contains("after"))
@@ -166,6 +166,7 @@
             {"repetition", call.repetition},
             {"duration", call.duration},
             {"left", left.count()},
+            {"objective", call.objective.count()},
             {"allowance", encodeAllowance(call.allowance)},
     };
     return joinFrame(head, bytesOf(call.body));
@@ -192,6 +193,8 @@
         call.duration = decodeEnum(head.at("duration"), Duration::Long);
         const auto left = head.at("left").get<std::int64_t>();
         call.deadline = now + std::clamp(Milliseconds(left), Milliseconds(0), longestDeadline);
+        call.objective = std::clamp(Milliseconds(head.at("objective").get<std::int64_t>()),
+                                    Milliseconds(0), longestDeadline);
         call.allowance = decodeAllowance(head.at("allowance"));
         call.body = ownBody(parts.body);
         return peer;
--- /dev/null
+++ b/Libraries/LibNode/Dialect.cpp
@@ -0,0 +1,15 @@
+#include <LibNode/Dialect.h>
+
+#include <glog/logging.h>
+
+namespace chive {
+
+const Dialect &dialectOf(const Settings &settings)
+{
+    const Dialect *dialect = Registry<Dialect>::find(settings.dialect);
+    if (dialect == nullptr)
+        LOG(FATAL) << "error=\"no dialect '" << settings.dialect << "'\"";
+    return *dialect;
+}
+
+} // namespace chive
--- a/Libraries/LibNode/Inbound.cpp
+++ b/Libraries/LibNode/Inbound.cpp
@@ -1,13 +1,14 @@
 #include <LibNode/Inbound.h>
 
 #include <LibCore/Identifier.h>
+#include <LibHttp/ForwardedHeaders.h>
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <optional>
+#include <span>
 
 namespace chive {
 
@@ -16,29 +17,15 @@
 constexpr std::size_t maximumKeyLength = 256;       // bytes
 constexpr std::size_t maximumRequestIdLength = 128; // bytes
 
-/// RFC 9110 section 7.6.1: these concern one connection and are not forwarded.
-constexpr std::array<std::string_view, 9> hopByHopHeaders{
-        "Connection", "Keep-Alive",     "Proxy-Connection",  "TE", "Trailer", "Upgrade",
-        "Host",       "Content-Length", "Transfer-Encoding",
-};
-
-bool isForwarded(std::string_view name)
+std::vector<Header> withoutOwnHeaders(std::span<const Header> all)
 {
-    if (name.size() >= 6 && isSameHeaderName(name.substr(0, 6), "Chive-"))
-        return false;
-    if (isSameHeaderName(name, headers::idempotencyKey) || isSameHeaderName(name, "Expect"))
-        return false;
-    return std::none_of(hopByHopHeaders.begin(), hopByHopHeaders.end(),
-                        [&](std::string_view hop) { return isSameHeaderName(name, hop); });
-}
-
-std::vector<Header> forwardedHeaders(const std::vector<Header> &all)
-{
-    std::vector<Header> kept;
-    for (const Header &header : all) {
-        if (isForwarded(header.first))
-            kept.push_back(header);
-    }
+    std::vector<Header> kept = forwardedHeaders(all);
+    std::erase_if(kept, [](const Header &header) {
+        const std::string_view name = header.first;
+        constexpr std::string_view prefix = "Chive-";
+        const bool isOwn = isSameHeaderName(name.substr(0, prefix.size()), prefix);
+        return isOwn || isSameHeaderName(name, headers::idempotencyKey);
+    });
     return kept;
 }
 
@@ -58,6 +45,8 @@
     return std::min(Milliseconds(value), most);
 }
 
+} // namespace
+
 std::string fingerprintOf(const Call &call)
 {
     std::string text = call.service + '\n' + call.method + '\n' + call.path + '\n';
@@ -65,8 +54,6 @@
     return digest(text);
 }
 
-} // namespace
-
 Judged<Call> readCall(const HttpRequest &request, const Catalogue &catalogue, TimePoint now)
 {
     std::string_view target = request.target;
@@ -102,7 +89,7 @@
 
     call.kind = kind->name;
     call.method = request.method;
-    call.headers = forwardedHeaders(request.headers);
+    call.headers = withoutOwnHeaders(request.headers);
     call.body = request.body;
     call.importance = kind->importance;
     call.repetition = kind->repetition;
@@ -195,7 +182,7 @@
     if (!result.has_value())
         return refusalFor(result.error(), requestId);
     const Answer &answer = result.value();
-    HttpResponse response{answer.status, forwardedHeaders(answer.headers), answer.body};
+    HttpResponse response{answer.status, withoutOwnHeaders(answer.headers), answer.body};
     response.headers.emplace_back(headers::execution, nameOf(Execution::HasRun));
     response.headers.emplace_back(headers::requestId, requestId);
     return response;
--- a/Libraries/LibNode/Inbound.h
+++ b/Libraries/LibNode/Inbound.h
@@ -36,6 +36,9 @@
 [[nodiscard]] HttpRequest requestForTarget(const Call &call, std::string_view callToken,
                                            TimePoint now);
 
+/// Equal for requests that do the same work: service, method, path and body.
+[[nodiscard]] std::string fingerprintOf(const Call &call);
+
 /// The response that tells a caller the outcome.
 [[nodiscard]] HttpResponse responseFor(const Judged<Answer> &result, std::string_view requestId);
 
--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -2,6 +2,7 @@
 
 #include <LibCatalogue/Catalogue.h>
 #include <LibLog/LogPage.h>
+#include <LibLog/StoreProtocol.h>
 #include <LibNode/Call.h>
 #include <LibSettings/Settings.h>
 
@@ -69,6 +70,7 @@
     Once = 6,
     Quarantine = 7,
     Status = 8,
+    Configuration = 9,
 };
 
 /// Each class has connections of its own, so that short work and control never wait behind a long
@@ -159,6 +161,56 @@
 struct Drained
 {};
 
+/// To the directory task: publish where this node is found, and report others from now on.
+struct AnnounceNode
+{
+    Member self;
+};
+
+/// From the directory task: a node was or is found here.
+struct ContactFound
+{
+    Endpoint contact;
+};
+
+// ---- The store ---------------------------------------------------------------------------------
+
+/// To the store task: from now on report the topic's newest values and every change.
+struct FollowTopic
+{
+    StoreTopic topic = StoreTopic::Configuration;
+};
+
+/// From the store task, in the order of the store; a value may be reported twice.
+struct StoreRead
+{
+    StoreTopic topic = StoreTopic::Configuration;
+    std::vector<StoreEntry> entries;
+    bool isWhole = false; ///< The entries are all that the topic holds.
+};
+
+/// To the store task.
+struct PutInStore
+{
+    Token token = 0;
+    StoreTopic topic = StoreTopic::Directory;
+    std::string key;
+    std::string value;
+};
+
+/// From the store task.
+struct StorePutEnded
+{
+    Token token = 0;
+    bool isWritten = false; ///< False: not written, or not known to be.
+};
+
+/// From the store task, when the store became reachable or unreachable for this node.
+struct StoreStateChanged
+{
+    bool isReachable = false;
+};
+
 // ---- Status reports ----------------------------------------------------------------------------
 
 /// Status task to mesh status task: ask every member for its report.
--- a/Libraries/LibSettings/ParseSettings.cpp
+++ b/Libraries/LibSettings/ParseSettings.cpp
@@ -11,6 +11,7 @@
 constexpr IntegerRange bodySizeRange{1'024, 1'073'741'824, "bytes"};
 constexpr IntegerRange heldBytesRange{1'024, 68'719'476'736, "bytes"};
 constexpr IntegerRange drainTimeoutRange{0, 3'600'000, "ms"};
+constexpr IntegerRange leaseRange{100, 3'600'000, "ms"};
 
 bool isEndpoint(std::string_view text)
 {
@@ -42,15 +43,32 @@
     settings.targetCalls = endpoint(*table, "target_calls");
     settings.links = endpoint(*table, "links");
     settings.admin = endpoint(*table, "admin");
+    if (table->has("ready"))
+        settings.ready = endpoint(*table, "ready");
     table->rejectUnknownKeys();
 }
 
-void parseLog(TomlTable &file, Settings &settings)
+void parseBacking(TomlTable &file, Settings &settings)
 {
-    auto table = file.table("log", Presence::Required);
+    const bool hasStore = file.has("store");
+    settings.backing = hasStore ? Settings::Backing::Store : Settings::Backing::Log;
+    auto table = file.table(hasStore ? "store" : "log", Presence::Required);
     if (!table)
         return;
-    settings.log = endpoint(*table, "endpoint");
+    (hasStore ? settings.store : settings.log) = endpoint(*table, "endpoint");
+    table->rejectUnknownKeys();
+}
+
+void parseTarget(TomlTable &file, Settings &settings)
+{
+    auto table = file.table("target", Presence::Optional);
+    if (!table)
+        return;
+    settings.targetService = table->text("service", Presence::Optional, identifierRule());
+    if (table->has("endpoint"))
+        settings.target = endpoint(*table, "endpoint");
+    settings.targetLease = Milliseconds(
+            table->integer("lease_ms", settings.targetLease.count(), leaseRange));
     table->rejectUnknownKeys();
 }
 
@@ -116,7 +134,10 @@
     settings.dataCentre = file->text("data_centre", Presence::Required, identifierRule());
     settings.region = file->text("region", Presence::Required, identifierRule());
     parseEndpoints(*file, settings);
-    parseLog(*file, settings);
+    if (file->has("dialect"))
+        settings.dialect = file->text("dialect", Presence::Optional, identifierRule());
+    parseBacking(*file, settings);
+    parseTarget(*file, settings);
     parseMesh(*file, settings);
     parseLimits(*file, settings);
     parsePolicies(*file, settings);
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,8 +38,24 @@
     Endpoint targetCalls; ///< Where the target beside this node announces itself and calls out.
     Endpoint links;       ///< Where other nodes connect.
     Endpoint admin;       ///< /metrics, /status and /healthz.
+    std::optional<Endpoint> ready; ///< Answers 200 while the node can serve callers.
+
+    std::string dialect = "native"; ///< How callers and the target are spoken to.
+
+    /// What stands outside the nodes: release notes and the directory of nodes in a log, or the
+    /// configuration and the directory in a store.
+    enum class Backing : std::uint8_t {
+        Log,
+        Store,
+    };
+    Backing backing = Backing::Log;
+    Endpoint log;                ///< The platform's log service; used with Backing::Log.
+    Endpoint store;              ///< The platform's store; used with Backing::Store.
+
+    std::string targetService;      ///< Service of the target beside this node; empty: any.
+    std::optional<Endpoint> target; ///< Its only address; nothing: any that it announces.
+    Milliseconds targetLease{3'000}; ///< A target that is silent for longer is taken for gone.
 
-    Endpoint log;                ///< The platform's log service.
     std::vector<Endpoint> peers; ///< Link endpoints to ask when the log is down at the start.
 
     std::size_t maximumBodySize = 8 * 1024 * 1024;   ///< Bytes, per request and per answer.
--- a/Services/ChiveRouter/NodeCommand.cpp
+++ b/Services/ChiveRouter/NodeCommand.cpp
@@ -56,6 +56,14 @@
     ExitCode exitCode_ = ExitCode::Ok;
 };
 
+/// The settings name this node's own endpoints and cannot change under a running process; what has
+/// changed is in force from the next start on.
+void checkAgain(const std::string &path)
+{
+    const bool isValid = readSettings(path).has_value();
+    LOG(INFO) << "event=settings-signal valid=" << isValid;
+}
+
 ExitCode runNode(ParsedArguments &arguments)
 {
     const std::optional<Settings> settings = readSettings(arguments["--settings"].asString());
@@ -70,6 +78,8 @@
     const SystemClock clock;
     Kernel kernel(*settings, clock);
     const Shutdown shutdown(kernel);
+    const std::string path = arguments["--settings"].asString();
+    kernel.loop().onSignal(SIGHUP, [&path] { checkAgain(path); });
     LOG(INFO) << "event=start node=" << settings->nodeId << " data_centre=" << settings->dataCentre;
     kernel.run();
     return shutdown.exitCode();
--- /dev/null
+++ b/Services/Node/ConfigurationTask.cpp
@@ -0,0 +1,151 @@
+#include <LibKernel/Kernel.h>
+#include <LibLog/StoreProtocol.h>
+#include <LibNode/ConfigurationFrame.h>
+#include <LibNode/Messages.h>
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include <algorithm>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace chive {
+
+namespace {
+
+/// A node that the store refuses learns a new version from its peers about this fast.
+constexpr Milliseconds tellInterval{250};
+constexpr std::size_t peersTold = 2;
+
+/// Keeps the configuration in force: the newest version that the store or a peer has shown. Within
+/// one process versions only rise.
+class ConfigurationTask final : public Task
+{
+public:
+    explicit ConfigurationTask(Kernel &kernel)
+        : kernel_(kernel)
+        , protocol_(Registry<StoreProtocol>::find(kernel.settings().dialect))
+        , members_(std::make_shared<const std::vector<Member>>())
+        , versionGauge_(prometheus::BuildGauge()
+                                .Name("chiverouter_configuration_version")
+                                .Help("Version of the configuration in force; 0: none.")
+                                .Register(kernel.metrics())
+                                .Add({}))
+    {
+        if (protocol_ == nullptr)
+            LOG(FATAL) << "task=configuration error=\"no store protocol '"
+                       << kernel.settings().dialect << "'\"";
+        Bus &bus = kernel.bus();
+        bus.subscribe<StoreRead>([this](const StoreRead &read) { handleRead(read); });
+        bus.subscribe<MembersChanged>(
+                [this](const MembersChanged &changed) { members_ = changed.members; });
+        bus.subscribe<ReceivedFromPeer>([this](const ReceivedFromPeer &frame) {
+            if (frame.topic == Topic::Configuration)
+                handleFrame(frame);
+        });
+        kernel.addStatus("configuration", [this] {
+            return nlohmann::json{{"version", version_}, {"source", source_}};
+        });
+    }
+
+    void start() override
+    {
+        kernel_.bus().post(FollowTopic{StoreTopic::Configuration});
+        timer_ = kernel_.loop().every(tellInterval, [this] { tellSome(); });
+    }
+
+private:
+    void handleRead(const StoreRead &read)
+    {
+        if (read.topic != StoreTopic::Configuration)
+            return;
+        for (const StoreEntry &entry : read.entries) {
+            if (entry.key == protocol_->configurationKey && !entry.value.empty())
+                takeRecord(entry.value, "store");
+        }
+    }
+
+    void takeRecord(const std::string &record, std::string_view source)
+    {
+        auto catalogue = protocol_->readConfiguration(record);
+        if (!catalogue.has_value()) {
+            LOG(WARNING) << "task=configuration event=record-ignored source=" << source
+                         << " error=\"" << catalogue.error().message << '"';
+            return;
+        }
+        if (catalogue.value().version <= version_)
+            return;
+        version_ = catalogue.value().version;
+        source_ = source;
+        record_ = std::make_shared<const std::string>(record);
+        versionGauge_.Set(static_cast<double>(version_));
+        LOG(INFO) << "task=configuration event=in-force version=" << version_
+                  << " source=" << source << " hosts=" << catalogue.value().routes.size();
+        kernel_.bus().post(CatalogueChanged{
+                std::make_shared<const Catalogue>(std::move(catalogue.value()))});
+        tellSome();
+    }
+
+    void handleFrame(const ReceivedFromPeer &frame)
+    {
+        const auto parsed = decodeConfigurationFrame(*frame.payload);
+        if (!parsed.has_value()) {
+            LOG_EVERY_N(WARNING, 100) << "task=configuration peer=" << format(frame.peer)
+                                      << " error=\"" << parsed.error().message << '"';
+            return;
+        }
+        const ConfigurationFrame &theirs = parsed.value();
+        if (!theirs.record.empty())
+            takeRecord(theirs.record, "peer");
+        else if (theirs.version < version_)
+            send(frame.peer, {version_, *record_});
+        else if (theirs.version > version_)
+            send(frame.peer, {version_, {}}); // Its answer is the record.
+    }
+
+    void send(const Endpoint &peer, const ConfigurationFrame &frame)
+    {
+        SendToPeer message{peer, LinkClass::Control, Topic::Configuration, nullptr};
+        message.payload = makeBody(encodeConfigurationFrame(frame));
+        kernel_.bus().post(std::move(message));
+    }
+
+    void tellSome()
+    {
+        std::vector<const Member *> others;
+        for (const Member &member : *members_) {
+            if (member.nodeId != kernel_.settings().nodeId && member.state == MemberState::Alive)
+                others.push_back(&member);
+        }
+        std::ranges::shuffle(others, random_);
+        for (std::size_t i = 0; i < std::min(peersTold, others.size()); ++i)
+            send(others[i]->links, {version_, {}});
+    }
+
+    Kernel &kernel_;
+    const StoreProtocol *protocol_ = nullptr;
+    std::shared_ptr<const std::vector<Member>> members_;
+    prometheus::Gauge &versionGauge_;
+    std::uint64_t version_ = 0;
+    std::string source_ = "none";
+    std::shared_ptr<const std::string> record_ = std::make_shared<const std::string>();
+    std::minstd_rand random_{std::random_device{}()};
+    Timer timer_;
+};
+
+const Registration<TaskPlugin> registration{TaskPlugin{
+        "configuration",
+        [](Kernel &kernel) -> std::unique_ptr<Task> {
+            return std::make_unique<ConfigurationTask>(kernel);
+        },
+        [](const Settings &settings) { return settings.backing == Settings::Backing::Store; },
+}};
+
+} // namespace
+
+} // namespace chive
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -1,7 +1,7 @@
 #include <LibCore/Identifier.h>
 #include <LibHttp/HttpServer.h>
 #include <LibKernel/Kernel.h>
-#include <LibNode/Inbound.h>
+#include <LibNode/Dialect.h>
 #include <LibNode/Messages.h>
 #include <Node/CallMetrics.h>
 
@@ -22,6 +22,7 @@
     explicit EntryTask(Kernel &kernel)
         : kernel_(kernel)
         , metrics_(kernel.metrics())
+        , dialect_(dialectOf(kernel.settings()))
         , catalogue_(std::make_shared<const Catalogue>())
     {
         kernel.bus().subscribe<CatalogueChanged>(
@@ -55,7 +56,8 @@
     void begin(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange)
     {
         const TimePoint now = kernel_.clock().now();
-        auto call = readCall(request, *catalogue_, now);
+        auto call = dialect_.readCall(
+                request, {*catalogue_, shares_, kernel_.settings().targetService}, now);
         if (!call.has_value()) {
             refuse(*exchange, call.error(), request);
             return;
@@ -83,10 +85,10 @@
     void refuse(HttpExchange &exchange, const Verdict &verdict, const HttpRequest &request)
     {
         metrics_.countUnread(verdict);
-        std::string requestId(findHeader(request.headers, headers::requestId));
+        std::string requestId = dialect_.requestIdOf(request);
         if (requestId.empty() || verdict.reason == Reason::BadRequest)
             requestId = randomIdentifier();
-        exchange.respond(responseFor(verdict, requestId));
+        exchange.respond(dialect_.responseFor(verdict, requestId));
     }
 
     void finish(const CallRouted &routed)
@@ -99,7 +101,8 @@
         bytesHeld_ -= request.bytesHeld;
         metrics_.countFinished(*request.call, routed.outcome.result,
                                kernel_.clock().now() - request.since);
-        request.exchange->respond(responseFor(routed.outcome.result, request.call->requestId));
+        request.exchange->respond(
+                dialect_.responseFor(routed.outcome.result, request.call->requestId));
     }
 
     void stop()
@@ -110,6 +113,8 @@
 
     Kernel &kernel_;
     CallMetrics metrics_;
+    const Dialect &dialect_;
+    ShareCounters shares_;
     std::shared_ptr<const Catalogue> catalogue_;
     std::unique_ptr<HttpServer> server_;
     std::map<Token, OpenRequest> open_;
--- a/Services/Node/MembershipTask.cpp
+++ b/Services/Node/MembershipTask.cpp
@@ -8,7 +8,6 @@
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
 
-#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -16,12 +15,8 @@
 
 namespace {
 
-constexpr std::string_view membersStream = "members";
 constexpr Milliseconds tickInterval{100};
 constexpr Milliseconds metricsInterval{1'000};
-constexpr Milliseconds followInterval{10'000};
-constexpr Milliseconds leastAnnounceRetry{1'000};
-constexpr Milliseconds mostAnnounceRetry{30'000};
 /// A member whose latest probe took longer is reported as late.
 constexpr Milliseconds lateAfter{250};
 
@@ -53,8 +48,8 @@
     };
 }
 
-/// Keeps the list of members: announces this node in the log, exchanges membership messages with
-/// its neighbours and posts MembersChanged.
+/// Keeps the list of members: announces this node in the directory, exchanges membership messages
+/// with its neighbours and posts MembersChanged.
 class MembershipTask final : public Task
 {
 public:
@@ -62,7 +57,6 @@
         : kernel_(kernel)
         , membership_(memberOf(kernel.settings(), kernel.clock().wallNow()), MembershipTiming{},
                       std::random_device{}(), kernel.clock().now())
-        , announceToken_(nextToken())
     {
         defineMetrics();
         subscribe();
@@ -73,7 +67,7 @@
     {
         for (const Endpoint &peer : kernel_.settings().peers)
             membership_.addContact(peer);
-        announce();
+        kernel_.bus().post(AnnounceNode{membership_.table().self()});
         publishIfChanged();
         metricsTimer_ = kernel_.loop().every(metricsInterval, [this] { updateMetrics(); });
         tickTimer_ = kernel_.loop().every(tickInterval, [this] { tick(); });
@@ -85,8 +79,8 @@
         Bus &bus = kernel_.bus();
         bus.subscribe<ReceivedFromPeer>([this](const auto &message) { receive(message); });
         bus.subscribe<PeerLost>([this](const auto &message) { handlePeerLost(message); });
-        bus.subscribe<AppendedToLog>([this](const auto &message) { handleAppended(message); });
-        bus.subscribe<LogRead>([this](const auto &message) { handleRead(message); });
+        bus.subscribe<ContactFound>(
+                [this](const ContactFound &found) { membership_.addContact(found.contact); });
         bus.subscribe<LocalTargetChanged>([this](const LocalTargetChanged &message) {
             sendAll(membership_.setTarget(message.service, message.isDraining));
             publishIfChanged();
@@ -124,52 +118,6 @@
             membership_.suspectLink(lost.peer);
     }
 
-    void announce()
-    {
-        const Member &self = membership_.table().self();
-        const nlohmann::json record{
-                {"node_id", self.nodeId},
-                {"incarnation", self.incarnation},
-                {"links", format(self.links)},
-        };
-        kernel_.bus().post(AppendToLog{announceToken_, std::string(membersStream), record.dump()});
-    }
-
-    void handleAppended(const AppendedToLog &appended)
-    {
-        if (appended.token != announceToken_)
-            return;
-        // Reading after the append makes sure that of two nodes that start together at least one
-        // sees the other.
-        if (!std::exchange(isFollowing_, true))
-            kernel_.bus().post(FollowStream{std::string(membersStream), 0, followInterval});
-        if (appended.offset.has_value())
-            return;
-        // A second announcement of the same start does no harm.
-        announceTimer_ = kernel_.loop().after(jittered(announceRetry_), [this] { announce(); });
-        announceRetry_ = std::min(announceRetry_ * 2, mostAnnounceRetry);
-    }
-
-    Milliseconds jittered(Milliseconds delay)
-    {
-        std::uniform_int_distribution<std::int64_t> spread(delay.count() / 2, delay.count());
-        return Milliseconds(spread(random_));
-    }
-
-    void handleRead(const LogRead &read)
-    {
-        if (read.stream != membersStream)
-            return;
-        for (const LogRecord &record : read.records) {
-            const auto json = nlohmann::json::parse(record.payload, nullptr, false);
-            if (!json.is_object() || !json.contains("links") || !json["links"].is_string())
-                continue;
-            const auto links = parseEndpoint(json["links"].get<std::string>());
-            if (links.has_value())
-                membership_.addContact(links.value());
-        }
-    }
-
     void sendAll(const std::vector<MembershipSend> &sends)
     {
         for (const MembershipSend &send : sends) {
@@ -257,11 +205,6 @@
 
     Kernel &kernel_;
     Membership membership_;
-    std::mt19937_64 random_{std::random_device{}()};
-    Token announceToken_;
-    bool isFollowing_ = false;
-    Milliseconds announceRetry_ = leastAnnounceRetry;
-    Timer announceTimer_;
     Timer tickTimer_;
     Timer metricsTimer_;
 
--- /dev/null
+++ b/Services/Node/NativeDialect.cpp
@@ -0,0 +1,60 @@
+#include <LibCore/Identifier.h>
+#include <LibNode/Dialect.h>
+#include <LibNode/Inbound.h>
+
+/// chiverouter's own interface (docs/PLATFORM.md, docs/CALLERS.md).
+namespace chive {
+
+namespace {
+
+Judged<Call> readNativeCall(const HttpRequest &request, const RequestSource &source, TimePoint now)
+{
+    return readCall(request, source.catalogue, now);
+}
+
+std::string requestIdOf(const HttpRequest &request)
+{
+    return std::string(findHeader(request.headers, headers::requestId));
+}
+
+HttpRequest nativeRequestForTarget(const Call &call, const TargetIdentity &target, TimePoint now)
+{
+    return requestForTarget(call, target.callToken, now);
+}
+
+ResponseRules rulesFor(const HttpRequest &request)
+{
+    return {{headers::call, std::string(findHeader(request.headers, headers::call))},
+            BodyEnd::Framed};
+}
+
+Judged<Answer> readAnswer(const Call &, HttpResponse response)
+{
+    return Answer{response.status, std::move(response.headers), response.body};
+}
+
+bool isAnnouncement(const HttpRequest &request)
+{
+    return request.target == "/announce";
+}
+
+Result<Announcement> readAnnouncement(const HttpRequest &request)
+{
+    return parseAnnouncement(bytesOf(request.body));
+}
+
+const Registration<Dialect> registration{Dialect{
+        "native",
+        readNativeCall,
+        requestIdOf,
+        nativeRequestForTarget,
+        rulesFor,
+        readAnswer,
+        responseFor,
+        isAnnouncement,
+        readAnnouncement,
+}};
+
+} // namespace
+
+} // namespace chive
--- /dev/null
+++ b/Services/Node/ReadyTask.cpp
@@ -0,0 +1,83 @@
+#include <LibHttp/HttpServer.h>
+#include <LibKernel/Kernel.h>
+#include <LibNode/Messages.h>
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+
+namespace chive {
+
+namespace {
+
+constexpr std::size_t maximumQuestionSize = 1024; // bytes
+
+/// Answers whether callers should use this node: 200 once it knows a configuration and a target of
+/// any service, 503 before and during a planned stop.
+class ReadyTask final : public Task
+{
+public:
+    explicit ReadyTask(Kernel &kernel)
+        : kernel_(kernel)
+    {
+        Bus &bus = kernel.bus();
+        bus.subscribe<CatalogueChanged>([this](const CatalogueChanged &) {
+            hasCatalogue_ = true;
+            note();
+        });
+        bus.subscribe<MembersChanged>([this](const MembersChanged &changed) {
+            hasTarget_ = std::ranges::any_of(*changed.members, [](const Member &member) {
+                return !member.service.empty() && member.state != MemberState::Leaving;
+            });
+            note();
+        });
+        bus.subscribe<StopRequested>([this](const StopRequested &) {
+            isStopping_ = true;
+            note();
+        });
+    }
+
+    void start() override
+    {
+        auto server = HttpServer::listen(
+                kernel_.loop(), *kernel_.settings().ready, maximumQuestionSize,
+                [this](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+                    exchange->respond({isReady() ? 200 : 503, {}, nullptr});
+                });
+        if (!server.has_value())
+            LOG(FATAL) << "task=ready error=\"" << server.error().message << '"';
+        server_ = std::move(server.value());
+    }
+
+private:
+    [[nodiscard]] bool isReady() const { return hasCatalogue_ && hasTarget_ && !isStopping_; }
+
+    void note()
+    {
+        if (isReady() == wasReady_)
+            return;
+        wasReady_ = isReady();
+        LOG(INFO) << "task=ready event=" << (wasReady_ ? "ready" : "not-ready")
+                  << " configuration=" << hasCatalogue_ << " targets=" << hasTarget_
+                  << " stopping=" << isStopping_;
+    }
+
+    Kernel &kernel_;
+    std::unique_ptr<HttpServer> server_;
+    bool hasCatalogue_ = false;
+    bool hasTarget_ = false;
+    bool isStopping_ = false;
+    bool wasReady_ = false;
+};
+
+const Registration<TaskPlugin> registration{TaskPlugin{
+        "ready",
+        [](Kernel &kernel) -> std::unique_ptr<Task> { return std::make_unique<ReadyTask>(kernel); },
+        [](const Settings &settings) { return settings.ready.has_value(); },
+}};
+
+} // namespace
+
+} // namespace chive
--- /dev/null
+++ b/Services/Node/StoreDirectoryTask.cpp
@@ -0,0 +1,100 @@
+#include <LibKernel/Kernel.h>
+#include <LibNode/Messages.h>
+
+#include <glog/logging.h>
+
+#include <random>
+#include <string>
+
+namespace chive {
+
+namespace {
+
+/// Between two attempts to write this node's entry, the least and the most.
+constexpr std::int64_t leastPutRetry = 500; // ms
+constexpr std::int64_t mostPutRetry = 1'000; // ms
+
+/// The directory of nodes in the store: one entry a node, its id with its link endpoint, written
+/// only when it differs from what the store holds. Whether a node lives is not its matter.
+class StoreDirectoryTask final : public Task
+{
+public:
+    explicit StoreDirectoryTask(Kernel &kernel)
+        : kernel_(kernel)
+    {
+        Bus &bus = kernel_.bus();
+        bus.subscribe<AnnounceNode>([this](const AnnounceNode &message) {
+            self_ = message.self;
+            kernel_.bus().post(FollowTopic{StoreTopic::Directory});
+        });
+        bus.subscribe<StoreRead>([this](const StoreRead &read) { handleRead(read); });
+        bus.subscribe<StorePutEnded>([this](const StorePutEnded &ended) { handlePut(ended); });
+    }
+
+    void start() override {}
+
+private:
+    void handleRead(const StoreRead &read)
+    {
+        if (read.topic != StoreTopic::Directory)
+            return;
+        for (const StoreEntry &entry : read.entries)
+            takeEntry(entry);
+        if (read.isWhole && !isListed_ && putToken_ == 0)
+            put();
+    }
+
+    void takeEntry(const StoreEntry &entry)
+    {
+        const auto links = parseEndpoint(entry.value);
+        if (!links.has_value()) {
+            LOG(WARNING) << "task=directory event=entry-ignored node=" << entry.key
+                         << " offset=" << entry.offset << " error=\"" << links.error().message
+                         << '"';
+            return;
+        }
+        if (entry.key != self_.nodeId)
+            kernel_.bus().post(ContactFound{links.value()});
+        else if (links.value() == self_.links)
+            isListed_ = true;
+    }
+
+    void put()
+    {
+        putToken_ = nextToken();
+        kernel_.bus().post(
+                PutInStore{putToken_, StoreTopic::Directory, self_.nodeId, format(self_.links)});
+    }
+
+    void handlePut(const StorePutEnded &ended)
+    {
+        if (ended.token != putToken_)
+            return;
+        if (ended.isWritten) {
+            isListed_ = true;
+            return;
+        }
+        // Writing the same entry twice does no harm.
+        std::uniform_int_distribution<std::int64_t> spread(leastPutRetry, mostPutRetry);
+        retry_ = kernel_.loop().after(Milliseconds(spread(random_)), [this] { put(); });
+    }
+
+    Kernel &kernel_;
+    Member self_;
+    bool isListed_ = false; ///< The store holds this node's present endpoint.
+    Token putToken_ = 0;
+    std::mt19937_64 random_{std::random_device{}()};
+    Timer retry_;
+};
+
+const Registration<TaskPlugin> registration{TaskPlugin{
+        "store-directory",
+        [](Kernel &kernel) -> std::unique_ptr<Task> {
+            return std::make_unique<StoreDirectoryTask>(kernel);
+        },
+        [](const Settings &settings) { return settings.backing == Settings::Backing::Store; },
+}};
+
+} // namespace
+
+} // namespace chive
--- /dev/null
+++ b/Services/Node/StoreTask.cpp
@@ -0,0 +1,215 @@
+#include <LibHttp/HttpClient.h>
+#include <LibKernel/Kernel.h>
+#include <LibLog/StoreProtocol.h>
+#include <LibNode/Messages.h>
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+#include <utility>
+
+namespace chive {
+
+namespace {
+
+constexpr std::size_t maximumResponseSize = 8 * 1024 * 1024; // bytes; a page holds at most 1 MB
+/// How long the store may hold back its answer while nothing changes. Each answer is a call that
+/// is paid for.
+constexpr Milliseconds longestWait{25'000};
+/// An answer that takes longer than the wait and this is not expected any more.
+constexpr Milliseconds answerTimeout{4'000};
+/// Entries that were missed while the store was away must be known within 2 s of its return.
+constexpr Milliseconds firstRetry{200};
+constexpr Milliseconds longestRetry{1'000};
+
+/// The one client of the store. For each topic that is followed it reads the newest values, then
+/// waits for changes from that offset on.
+class StoreTask final : public Task
+{
+public:
+    explicit StoreTask(Kernel &kernel)
+        : kernel_(kernel)
+        , protocol_(Registry<StoreProtocol>::find(kernel.settings().dialect))
+        , client_(kernel.loop(), kernel.settings().store, maximumResponseSize)
+        , calls_(prometheus::BuildCounter()
+                         .Name("chiverouter_store_calls_total")
+                         .Help("Calls to the store, by call and outcome.")
+                         .Register(kernel.metrics()))
+        , isReachableGauge_(prometheus::BuildGauge()
+                                    .Name("chiverouter_store_reachable")
+                                    .Help("1 while the store answers this node.")
+                                    .Register(kernel.metrics())
+                                    .Add({}))
+    {
+        if (protocol_ == nullptr)
+            LOG(FATAL) << "task=store error=\"no store protocol '" << kernel.settings().dialect
+                       << "'\"";
+        client_.trustServer();
+        client_.detectSilentConnections();
+        Bus &bus = kernel.bus();
+        bus.subscribe<FollowTopic>([this](const FollowTopic &message) { follow(message.topic); });
+        bus.subscribe<PutInStore>([this](const PutInStore &message) { put(message); });
+        kernel.addStatus("store", [this] {
+            return nlohmann::json{{"reachable", isReachable_}, {"topics", followed_.size()}};
+        });
+    }
+
+    void start() override {}
+
+private:
+    struct Followed
+    {
+        bool isLoaded = false;
+        std::uint64_t next = 0; ///< Offset of the next change.
+        std::vector<StoreEntry> pages;
+        Milliseconds retry = firstRetry;
+        Timer pause;
+    };
+
+    void follow(StoreTopic topic)
+    {
+        if (followed_.try_emplace(topic).second)
+            loadNewest(topic, {});
+    }
+
+    void loadNewest(StoreTopic topic, const std::string &afterKey)
+    {
+        client_.send(protocol_->newestRequest(topic, afterKey), answerTimeout,
+                     [this, topic, afterKey](const HttpClient::Outcome &outcome) {
+                         takeNewest(topic, afterKey, outcome);
+                     });
+    }
+
+    void takeNewest(StoreTopic topic, const std::string &afterKey,
+                    const HttpClient::Outcome &outcome)
+    {
+        Followed &followed = followed_.at(topic);
+        auto page = judge("newest", outcome, [&](const HttpResponse &response) {
+            return protocol_->readNewest(response);
+        });
+        if (!page.has_value()) {
+            followed.pages.clear();
+            retryLater(topic, [this, topic] { loadNewest(topic, {}); });
+            return;
+        }
+        StorePage &read = page.value();
+        // What is written while the pages are read shows from the first page's end on.
+        if (afterKey.empty())
+            followed.next = read.end;
+        std::move(read.entries.begin(), read.entries.end(), std::back_inserter(followed.pages));
+        if (read.nextAfter) {
+            loadNewest(topic, *read.nextAfter);
+            return;
+        }
+        followed.isLoaded = true;
+        kernel_.bus().post(StoreRead{topic, std::exchange(followed.pages, {}), true});
+        awaitChanges(topic);
+    }
+
+    void awaitChanges(StoreTopic topic)
+    {
+        const std::uint64_t from = followed_.at(topic).next;
+        client_.send(protocol_->changesRequest(topic, from, longestWait),
+                     longestWait + answerTimeout,
+                     [this, topic, from](const HttpClient::Outcome &outcome) {
+                         takeChanges(topic, from, outcome);
+                     });
+    }
+
+    void takeChanges(StoreTopic topic, std::uint64_t from, const HttpClient::Outcome &outcome)
+    {
+        Followed &followed = followed_.at(topic);
+        auto changes = judge("changes", outcome, [&](const HttpResponse &response) {
+            return protocol_->readChanges(response, from);
+        });
+        if (!changes.has_value()) {
+            // Reading the newest values instead also covers offsets that the store no longer knows.
+            retryLater(topic, [this, topic] { loadNewest(topic, {}); });
+            return;
+        }
+        if (changes.value().isTruncated) {
+            loadNewest(topic, {});
+            return;
+        }
+        followed.next = from + changes.value().entries.size();
+        if (!changes.value().entries.empty())
+            kernel_.bus().post(StoreRead{topic, std::move(changes.value().entries), false});
+        awaitChanges(topic);
+    }
+
+    void put(const PutInStore &message)
+    {
+        client_.send(protocol_->putRequest(message.topic, message.key, message.value),
+                     answerTimeout,
+                     [this, token = message.token](const HttpClient::Outcome &outcome) {
+                         const auto written
+                                 = judge("put", outcome, [&](const HttpResponse &response) {
+                                       return protocol_->readPut(response);
+                                   });
+                         kernel_.bus().post(StorePutEnded{token, written.has_value()});
+                     });
+    }
+
+    /// The value in the response, or the error of the connection or of the store. Counts and logs.
+    template<typename Read>
+    auto judge(std::string_view call, const HttpClient::Outcome &outcome, Read read)
+            -> decltype(read(std::declval<const HttpResponse &>()))
+    {
+        using Value = decltype(read(std::declval<const HttpResponse &>()));
+        Value value = outcome.has_value()
+                              ? read(outcome.value())
+                              : Value(Error{Error::Kind::Unknown, outcome.error().message});
+        calls_.Add({{"call", std::string(call)}, {"outcome", value.has_value() ? "ok" : "error"}})
+                .Increment();
+        setReachable(value.has_value(), value.has_value() ? "" : value.error().message);
+        return value;
+    }
+
+    void setReachable(bool isReachable, std::string_view cause)
+    {
+        if (isReachable == isReachable_)
+            return;
+        isReachable_ = isReachable;
+        isReachableGauge_.Set(isReachable ? 1.0 : 0.0);
+        if (isReachable)
+            LOG(INFO) << "task=store event=reachable";
+        else
+            LOG(WARNING) << "task=store event=unreachable error=\"" << cause << '"';
+        kernel_.bus().post(StoreStateChanged{isReachable});
+    }
+
+    void retryLater(StoreTopic topic, std::function<void()> retry)
+    {
+        Followed &followed = followed_.at(topic);
+        std::uniform_int_distribution<std::int64_t> spread(followed.retry.count() / 2,
+                                                           followed.retry.count());
+        followed.pause = kernel_.loop().after(Milliseconds(spread(random_)), std::move(retry));
+        followed.retry = isReachable_ ? firstRetry : std::min(followed.retry * 2, longestRetry);
+    }
+
+    Kernel &kernel_;
+    const StoreProtocol *protocol_ = nullptr;
+    HttpClient client_;
+    prometheus::Family<prometheus::Counter> &calls_;
+    prometheus::Gauge &isReachableGauge_;
+    std::map<StoreTopic, Followed> followed_;
+    bool isReachable_ = false;
+    std::mt19937_64 random_{std::random_device{}()};
+};
+
+const Registration<TaskPlugin> registration{TaskPlugin{
+        "store",
+        [](Kernel &kernel) -> std::unique_ptr<Task> { return std::make_unique<StoreTask>(kernel); },
+        [](const Settings &settings) { return settings.backing == Settings::Backing::Store; },
+}};
+
+} // namespace
+
+} // namespace chive
--- a/Services/Node/TargetSide.cpp
+++ b/Services/Node/TargetSide.cpp
@@ -8,6 +8,8 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace chive {
@@ -22,6 +24,7 @@
     : kernel_(kernel)
     , contexts_(contexts)
     , changed_(std::move(changed))
+    , dialect_(dialectOf(kernel.settings()))
     , catalogue_(std::make_shared<const Catalogue>())
 {
     kernel.bus().subscribe<CatalogueChanged>(
@@ -48,7 +51,7 @@
 void TargetSide::handleRequest(const HttpRequest &request,
                                const std::shared_ptr<HttpExchange> &exchange)
 {
-    if (request.target == "/announce")
+    if (dialect_.isAnnouncement(request))
         exchange->respond(handleAnnouncement(request));
     else
         beginNested(request, exchange);
@@ -56,42 +59,109 @@
 
 HttpResponse TargetSide::handleAnnouncement(const HttpRequest &request)
 {
-    const auto announcement = parseAnnouncement(bytesOf(request.body));
-    if (!announcement.has_value()) {
-        LOG_EVERY_N(WARNING, 10) << "task=target error=\"announcement: "
-                                 << announcement.error().message << '"';
-        return {400, {}, makeBody(announcement.error().message)};
+    const auto read = dialect_.readAnnouncement(request);
+    if (!read.has_value()) {
+        LOG_EVERY_N(WARNING, 10) << "task=target event=announcement-refused error=\""
+                                 << read.error().message << '"';
+        return {400, {}, makeBody(read.error().message)};
+    }
+    const Announcement &announcement = read.value();
+    if (announcement.isDeparture) {
+        takeDeparture(announcement.targetId);
+    } else if (isOwnTarget(announcement)) {
+        takeAnnouncement(announcement);
+    } else {
+        LOG_EVERY_N(WARNING, 10) << "task=target event=announcement-refused id="
+                                 << announcement.targetId << " service=" << announcement.service
+                                 << " endpoint=" << format(announcement.endpoint)
+                                 << " error=\"not the target beside this node\"";
+        return {400, {}, makeBody("not the target beside this node")};
     }
-    announcedAt_ = kernel_.clock().now();
-    if (announcement.value() != announcement_ || client_ == nullptr)
-        setAnnouncement(announcement.value());
     return {200, {{"Content-Type", "application/json"}}, makeBody("{}")};
 }
 
+bool TargetSide::isOwnTarget(const Announcement &announcement) const
+{
+    const Settings &settings = kernel_.settings();
+    const bool isService
+            = settings.targetService.empty() || announcement.service == settings.targetService;
+    return isService && (!settings.target || announcement.endpoint == *settings.target);
+}
+
+void TargetSide::takeAnnouncement(const Announcement &announcement)
+{
+    const bool isHeld = client_ != nullptr;
+    const auto order
+            = isHeld ? orderOf(announcement_, announcement) : AnnouncementOrder::NewStart;
+    if (order == AnnouncementOrder::Stale) {
+        LOG_EVERY_N(INFO, 10) << "task=target event=stale-announcement id="
+                              << announcement.targetId << " sequence=" << announcement.sequence;
+        return;
+    }
+    announcedAt_ = kernel_.clock().now();
+    if (order == AnnouncementOrder::NewStart) {
+        setAnnouncement(announcement);
+        startClient();
+        tellAll();
+        return;
+    }
+    const bool isNews = announcement.slots != announcement_.slots
+                        || announcement.isDraining != announcement_.isDraining
+                        || announcement.service != announcement_.service;
+    if (isNews)
+        setAnnouncement(announcement);
+    announcement_ = announcement;
+    if (isNews)
+        tellAll();
+}
+
+void TargetSide::takeDeparture(const std::string &targetId)
+{
+    LOG(INFO) << "task=target event=departure id=" << targetId;
+    if (client_ == nullptr || announcement_.targetId != targetId)
+        return;
+    announcement_.isDraining = true;
+    // No earlier word of this start that is still on its way may revive it.
+    announcement_.sequence = std::numeric_limits<std::uint64_t>::max();
+    tellAll();
+}
+
 void TargetSide::setAnnouncement(const Announcement &announcement)
 {
-    LOG(INFO) << "task=target event=announced service=" << announcement.service
+    LOG(INFO) << "task=target event=announced id=" << announcement.targetId
+              << " service=" << announcement.service
               << " endpoint=" << format(announcement.endpoint) << " slots=" << announcement.slots
-              << " draining=" << announcement.isDraining;
-    const bool isSameProcess
-            = client_ != nullptr && announcement.endpoint == announcement_.endpoint;
+              << " draining=" << announcement.isDraining << " sequence=" << announcement.sequence;
     announcement_ = announcement;
-    if (!isSameProcess)
-        client_ = std::make_unique<HttpClient>(kernel_.loop(), announcement.endpoint,
-                                               kernel_.settings().maximumBodySize);
-    kernel_.bus().post(LocalTargetChanged{announcement.service, announcement.endpoint,
-                                          announcement.slots, announcement.isDraining});
+}
+
+void TargetSide::startClient()
+{
+    if (client_ != nullptr && client_->inFlight() > 0)
+        retiredClients_.push_back(std::move(client_));
+    client_ = std::make_unique<HttpClient>(kernel_.loop(), announcement_.endpoint,
+                                           kernel_.settings().maximumBodySize);
+}
+
+void TargetSide::tellAll()
+{
+    kernel_.bus().post(LocalTargetChanged{announcement_.service, announcement_.endpoint,
+                                          announcement_.slots, announcement_.isDraining});
     changed_();
 }
 
 void TargetSide::checkLease()
 {
-    if (client_ == nullptr || kernel_.clock().now() - announcedAt_ < announcementLease)
+    std::erase_if(retiredClients_, [](const auto &client) { return client->inFlight() == 0; });
+    const bool isSilent
+            = kernel_.clock().now() - announcedAt_ >= kernel_.settings().targetLease;
+    if (client_ == nullptr || !isSilent)
         return;
     // Work in flight keeps its connections: a target that only stopped announcing may finish it.
     if (client_->inFlight() > 0)
         return;
-    LOG(WARNING) << "task=target event=lease-expired service=" << announcement_.service;
+    LOG(WARNING) << "task=target event=lease-expired id=" << announcement_.targetId
+                 << " service=" << announcement_.service;
     client_.reset();
     kernel_.bus().post(LocalTargetChanged{});
     changed_();
@@ -100,16 +170,17 @@
 void TargetSide::beginNested(const HttpRequest &request,
                              const std::shared_ptr<HttpExchange> &exchange)
 {
-    auto call = readCall(request, *catalogue_, kernel_.clock().now());
+    auto call = dialect_.readCall(request,
+                                  {*catalogue_, shares_, kernel_.settings().targetService},
+                                  kernel_.clock().now());
     if (!call.has_value()) {
-        exchange->respond(
-                responseFor(call.error(), findHeader(request.headers, headers::requestId)));
+        exchange->respond(dialect_.responseFor(call.error(), dialect_.requestIdOf(request)));
         return;
     }
     Call &nested = call.value();
     auto context = contexts_.lend(findHeader(request.headers, headers::call), nested);
     if (!context.has_value()) {
-        exchange->respond(responseFor(context.error(), nested.requestId));
+        exchange->respond(dialect_.responseFor(context.error(), nested.requestId));
         return;
     }
     const Token token = nextToken();
@@ -127,7 +198,8 @@
     const NestedCall nested = std::move(found->second);
     nested_.erase(found);
     contexts_.giveBack(nested.context, nested.call->allowance, routed.outcome);
-    nested.exchange->respond(responseFor(routed.outcome.result, nested.call->requestId));
+    nested.exchange->respond(
+            dialect_.responseFor(routed.outcome.result, nested.call->requestId));
 }
 
 } // namespace chive
--- a/Services/Node/TargetSide.h
+++ b/Services/Node/TargetSide.h
@@ -5,12 +5,13 @@
 #include <LibHttp/HttpMessage.h>
 #include <LibKernel/EventLoop.h>
 #include <LibNode/Messages.h>
-#include <Node/LocalTarget.h>
+#include <LibNode/Dialect.h>
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace chive {
 
@@ -37,6 +38,8 @@
     [[nodiscard]] const std::string &service() const { return announcement_.service; }
     [[nodiscard]] const Endpoint &endpoint() const { return announcement_.endpoint; }
     [[nodiscard]] std::uint32_t slots() const { return announcement_.slots; }
+    /// Names this start of the target; empty where targets do not say.
+    [[nodiscard]] const std::string &targetId() const { return announcement_.targetId; }
 
     /// The client of the target, or null while there is none.
     [[nodiscard]] HttpClient *client() const { return client_.get(); }
@@ -55,14 +58,22 @@
     void beginNested(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange);
     void finishNested(const CallRouted &routed);
     void checkLease();
+    void takeAnnouncement(const Announcement &announcement);
+    void takeDeparture(const std::string &targetId);
     void setAnnouncement(const Announcement &announcement);
+    void startClient();
+    void tellAll();
+    [[nodiscard]] bool isOwnTarget(const Announcement &announcement) const;
 
     Kernel &kernel_;
     CallContexts &contexts_;
     std::function<void()> changed_;
+    const Dialect &dialect_;
     std::shared_ptr<const Catalogue> catalogue_;
     std::unique_ptr<HttpServer> server_;
     std::unique_ptr<HttpClient> client_;
+    std::vector<std::unique_ptr<HttpClient>> retiredClients_; ///< Of earlier starts, still in use.
+    ShareCounters shares_;
     Announcement announcement_;
     TimePoint announcedAt_;
     Timer leaseTimer_;
--- a/Services/Node/TargetTask.cpp
+++ b/Services/Node/TargetTask.cpp
@@ -1,6 +1,6 @@
 #include <LibHttp/HttpClient.h>
 #include <LibKernel/Kernel.h>
-#include <LibNode/Inbound.h>
+#include <LibNode/Dialect.h>
 #include <LibNode/Messages.h>
 #include <LibPolicy/Admission.h>
 #include <Node/CallContexts.h>
@@ -35,6 +35,7 @@
 public:
     explicit TargetTask(Kernel &kernel)
         : kernel_(kernel)
+        , dialect_(dialectOf(kernel.settings()))
         , admission_(Registry<AdmissionPlugin>::find(kernel.settings().admissionPolicy))
         , side_(kernel, contexts_, [this] { handleTargetChanged(); })
         , crashes_(kernel)
@@ -84,6 +85,7 @@
         Stage stage = Stage::Queued;
         bool isGranted = false; ///< The once task waits for its end.
         std::string context;
+        HttpClient *client = nullptr; ///< That sends it; lives as long as requests are in flight.
         HttpClient::RequestId request = 0;
         TimePoint startedAt;
         Timer limit;
@@ -223,12 +225,15 @@
         work.startedAt = kernel_.clock().now();
         work.context = contexts_.open(work.call);
         const auto left = std::chrono::ceil<Milliseconds>(work.call->deadline - work.startedAt);
-        const HttpRequest request = requestForTarget(*work.call, work.context, work.startedAt);
+        const HttpRequest request = dialect_.requestForTarget(
+                *work.call, {work.context, side_.targetId()}, work.startedAt);
         crashes_.noteStarted(work.call->fingerprint);
+        work.client = client;
         work.request = client->send(request, std::max(left, Milliseconds(1)),
                                     [this, token](HttpClient::Outcome outcome) {
                                         handleResponse(token, std::move(outcome));
-                                    });
+                                    },
+                                    dialect_.rulesFor(request));
         work.limit = kernel_.loop().after(left, [this, token] { expire(token); });
     }
 
@@ -242,8 +247,7 @@
         const Work &work = found->second;
         crashes_.noteEnded(work.call->fingerprint);
         if (outcome.has_value()) {
-            HttpResponse &response = outcome.value();
-            end(token, Answer{response.status, std::move(response.headers), response.body});
+            end(token, dialect_.readAnswer(*work.call, std::move(outcome.value())));
             return;
         }
         const HttpFailure &failure = outcome.error();
@@ -293,10 +297,10 @@
     {
         const Work &work = work_.at(token);
         const HttpClient::RequestId request = work.request;
+        HttpClient *client = work.client;
         crashes_.noteEnded(work.call->fingerprint);
         end(token, verdict);
-        if (HttpClient *client = side_.client())
-            client->cancel(request);
+        client->cancel(request);
     }
 
     void end(Token token, Judged<Answer> result)
@@ -369,6 +373,7 @@
     }
 
     Kernel &kernel_;
+    const Dialect &dialect_;
     const AdmissionPlugin *admission_ = nullptr;
     CallContexts contexts_;
     TargetSide side_;
--- a/Tests/Harness/Caller.cpp
+++ b/Tests/Harness/Caller.cpp
@@ -104,8 +104,10 @@
 HttpClient &Caller::clientOf(const Endpoint &server)
 {
     auto &client = clients_[format(server)];
-    if (!client)
+    if (!client) {
         client = std::make_unique<HttpClient>(loop_, server, maximumBodySize);
+        client->trustServer();
+    }
     return *client;
 }
 
--- a/Utilities/Demo/Demo.cpp
+++ b/Utilities/Demo/Demo.cpp
@@ -36,8 +36,10 @@
     , random_(seed)
     , due_(kinds.size(), 0.0)
 {
-    for (const Endpoint &endpoint : callers)
+    for (const Endpoint &endpoint : callers) {
         nodes_.push_back(std::make_unique<HttpClient>(loop, endpoint, maximumBodySize));
+        nodes_.back()->trustServer();
+    }
     for (const Endpoint &endpoint : targets)
         targets_.push_back(std::make_unique<HttpClient>(loop, endpoint, maximumBodySize));
 }
--- a/Utilities/Load/FakeTarget.cpp
+++ b/Utilities/Load/FakeTarget.cpp
@@ -33,7 +33,9 @@
     , totals_(totals)
     , random_(trace.seed * 1'000 + options.index)
     , node_(loop, options.node, maximumBody)
-{}
+{
+    node_.trustServer();
+}
 
 FakeTarget::~FakeTarget() = default;
 
@@ -132,7 +134,10 @@
     if (fault != nullptr && fault->failStatus != 0)
         status = fault->failStatus;
     if (!work->isGone)
-        work->exchange->respond({status, {}, makeBody("done")});
+        work->exchange->respond(
+                {status,
+                 {{"Chive-Call", std::string(findHeader(work->request.headers, "Chive-Call"))}},
+                 makeBody("done")});
     --running_;
     loop_.post([this] { startQueued(); });
 }
--- a/Utilities/Load/Replay.cpp
+++ b/Utilities/Load/Replay.cpp
@@ -32,8 +32,10 @@
     , trace_(trace)
     , results_(trace.calls.size())
 {
-    for (const Endpoint &entry : entries)
+    for (const Endpoint &entry : entries) {
         clients_.push_back(std::make_unique<HttpClient>(loop, entry, maximumAnswer));
+        clients_.back()->trustServer();
+    }
 }
 
 std::vector<CallResult> Replay::run()
--- a/Utilities/StandIns/TargetStandIn.cpp
+++ b/Utilities/StandIns/TargetStandIn.cpp
@@ -67,7 +67,9 @@
     , random_(options_.seed)
     , node_(loop, options_.node, maximumBodySize)
     , started_(clock.now())
-{}
+{
+    node_.trustServer();
+}
 
 TargetStandIn::~TargetStandIn() = default;
 
@@ -210,6 +212,7 @@
         status = faults_.failStatus;
     HttpResponse response = jsonResponse(status, body);
     response.headers.emplace_back("Answer-Digest", digest(bytesOf(response.body)));
+    response.headers.emplace_back("Chive-Call", record.call);
     return response;
 }
 
