LibHttp: Keep a closed connection's descriptor until no event holds it

Cause: the server kept a reference to each connection's bufferevent for up to 500 ms after evhttp had closed the descriptor. Change: the descriptor is closed with the last reference, records are released every 100 ms. The new test in TestHttp fails before and passes now.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -18,8 +18,8 @@
 namespace {
 
 constexpr std::size_t maximumHeaderBytes = 64 * 1024;
-/// The records of closed connections are let go this often.
-constexpr Milliseconds releaseInterval{500};
+/// The records of closed connections are let go this often. Their sockets stay open until then.
+constexpr Milliseconds releaseInterval{100};
 
 std::string methodName(evhttp_cmd_type type)
 {
@@ -183,7 +183,9 @@
 
 bufferevent *HttpServer::addConnection()
 {
-    bufferevent *handle = bufferevent_socket_new(loop_.base(), -1, 0);
+    // The record outlives evhttp's connection, with read events that libevent keeps. The descriptor
+    // must not be closed before they are gone, or they take bytes from whoever gets it next.
+    bufferevent *handle = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     connections_.emplace(handle, std::make_unique<Connection>(handle));
     return handle;
 }
--- a/Tests/LibHttp/TestHttp.cpp
+++ b/Tests/LibHttp/TestHttp.cpp
@@ -7,7 +7,9 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
+#include <array>
 #include <optional>
 
 using namespace chive;
@@ -211,6 +213,44 @@
     }
 }
 
+TEST_CASE("A closed connection takes no bytes from whoever gets its descriptor next")
+{
+    EventLoop loop;
+    auto server = HttpServer::listen(
+            loop, endpoint, bodyLimit,
+            [](const HttpRequest &, const auto &exchange) { exchange->respond({200, {}, nullptr}); });
+    REQUIRE(server.has_value());
+    server.value()->closeAfterResponses();
+    for (int round = 0; round < 5; ++round) {
+        {
+            HttpClient client(loop, endpoint, bodyLimit);
+            REQUIRE(exchange(loop, client, {}).has_value());
+        }
+        const Timer closed = loop.after(Milliseconds(20), [&] { loop.stop(); });
+        loop.run();
+        // New descriptors get the lowest numbers that are free, so one of them is the server's.
+        std::array<std::array<bufferevent *, 2>, 8> pairs{};
+        const std::string bytes(60'000, 'x'); // More than libevent reads at once.
+        for (auto &pair : pairs) {
+            std::array<int, 2> sockets{};
+            REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, sockets.data()) == 0);
+            for (std::size_t i = 0; i < pair.size(); ++i) {
+                pair[i] = bufferevent_socket_new(loop.base(), sockets[i], BEV_OPT_CLOSE_ON_FREE);
+                bufferevent_enable(pair[i], EV_READ | EV_WRITE);
+                bufferevent_write(pair[i], bytes.data(), bytes.size());
+            }
+        }
+        const Timer taken = loop.after(Milliseconds(20), [&] { loop.stop(); });
+        loop.run();
+        for (const auto &pair : pairs) {
+            for (bufferevent *end : pair) {
+                CHECK(evbuffer_get_length(bufferevent_get_input(end)) == bytes.size());
+                bufferevent_free(end);
+            }
+        }
+    }
+}
+
 TEST_CASE("The server tells how many requests are still being received")
 {
     EventLoop loop;
