--- a/Libraries/LibNode/Call.h
+++ b/Libraries/LibNode/Call.h
@@ -38,6 +38,7 @@
     Repetition repetition = Repetition::Guarded;
     Duration duration = Duration::Short;
     TimePoint deadline;
+    bool isNested = false;     ///< Made by a target for work that has begun.
     Milliseconds objective{0}; ///< An answer within it is worth most; 0: none is known.
     Allowance allowance; ///< Lent to this call; what is unspent comes back with the answer.
 };
--- a/Libraries/LibNode/CallCodec.cpp
+++ b/Libraries/LibNode/CallCodec.cpp
@@ -167,6 +167,7 @@
             {"duration", call.duration},
             {"left", left.count()},
             {"objective", call.objective.count()},
+            {"nested", call.isNested},
             {"allowance", encodeAllowance(call.allowance)},
     };
     return joinFrame(head, bytesOf(call.body));
@@ -193,6 +194,7 @@
         call.duration = decodeEnum(head.at("duration"), Duration::Long);
         const auto left = head.at("left").get<std::int64_t>();
         call.deadline = now + std::clamp(Milliseconds(left), Milliseconds(0), longestDeadline);
+        call.isNested = head.at("nested").get<bool>();
         call.objective = std::clamp(Milliseconds(head.at("objective").get<std::int64_t>()),
                                     Milliseconds(0), longestDeadline);
         call.allowance = decodeAllowance(head.at("allowance"));
--- a/Libraries/LibNode/Inbound.cpp
+++ b/Libraries/LibNode/Inbound.cpp
@@ -103,6 +103,7 @@
 void inheritFrom(const Call &parent, Call &nested)
 {
     nested.requestId = parent.requestId;
+    nested.isNested = true;
     nested.importance = parent.importance;
     nested.deadline = std::min(parent.deadline, nested.deadline);
 }
--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -7,8 +7,10 @@
 #include <LibSettings/Settings.h>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -71,6 +73,7 @@
     Quarantine = 7,
     Status = 8,
     Configuration = 9,
+    Pressure = 10,
 };
 
 /// Each class has connections of its own, so that short work and control never wait behind a long
@@ -211,6 +214,27 @@
     bool isReachable = false;
 };
 
+// ---- Load --------------------------------------------------------------------------------------
+
+/// From the target task, several times a second: how full the target beside this node is.
+struct TargetPressure
+{
+    std::string service; ///< Empty while there is no target.
+    double pressure = 0.0; ///< PressureReport::pressure.
+};
+
+using PressureByService = std::map<std::string, double, std::less<>>;
+
+/// All services that the calls of each service lead to, itself not among them.
+using ServicesBelow = std::map<std::string, std::set<std::string>, std::less<>>;
+
+/// From the pressure task: the highest pressure among each service and all that it leads to.
+struct PressureChanged
+{
+    std::shared_ptr<const PressureByService> below;
+    std::shared_ptr<const ServicesBelow> servicesBelow;
+};
+
 // ---- Status reports ----------------------------------------------------------------------------
 
 /// Status task to mesh status task: ask every member for its report.
--- a/Libraries/LibPolicy/AdaptiveAdmission.cpp
+++ b/Libraries/LibPolicy/AdaptiveAdmission.cpp
@@ -48,6 +48,8 @@
 {
     if (left.attributes.importance != right.attributes.importance)
         return left.attributes.importance < right.attributes.importance;
+    if (left.attributes.isNested != right.attributes.isNested)
+        return left.attributes.isNested;
     if (left.attributes.deadline != right.attributes.deadline)
         return left.attributes.deadline < right.attributes.deadline;
     return left.arrival < right.arrival;
--- a/Libraries/LibPolicy/Admission.h
+++ b/Libraries/LibPolicy/Admission.h
@@ -25,6 +25,7 @@
     Importance importance = Importance::Normal;
     Duration duration = Duration::Short;
     TimePoint deadline;
+    bool isNested = false; ///< Part of a tree that has begun; goes before new work.
 };
 
 struct AdmissionSettings
--- a/Libraries/LibPolicy/Retry.cpp
+++ b/Libraries/LibPolicy/Retry.cpp
@@ -1,14 +1,16 @@
 #include <LibPolicy/Retry.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace chive {
 
 namespace {
 
-constexpr double tokensPerFirstAttempt = 0.1;
-constexpr double tokensPerSecond = 0.5; ///< Lets a service with little traffic retry at all.
-constexpr double largestBudget = 10.0;
+/// Of what all nodes together may retry, the part that they use.
+constexpr double usedPart = 0.5;
+/// With fewer members the view of the mesh is likely to be partial.
+constexpr std::size_t leastNodes = 10;
 constexpr int serviceUnavailable = 503; ///< RFC 9110, section 15.6.4.
 constexpr int badGateway = 502;
 constexpr int gatewayTimeout = 504;
@@ -20,14 +22,18 @@
 
 void addTokens(RetryBudget &budget, double tokens)
 {
-    budget.tokens = std::min(largestBudget, budget.tokens + tokens);
+    const RetryBudgetLimits &limits = budget.limits;
+    const double largest = limits.largest + limits.largestPerFirstAttempt * budget.recentAttempts;
+    budget.tokens = std::min(largest, budget.tokens + tokens);
 }
 
 void refill(RetryBudget &budget, TimePoint now)
 {
     if (budget.lastRefill != TimePoint{}) {
         const std::chrono::duration<double> passed = now - budget.lastRefill;
-        addTokens(budget, tokensPerSecond * passed.count());
+        const std::chrono::duration<double> window = budget.limits.window;
+        budget.recentAttempts *= std::exp(-passed / window);
+        addTokens(budget, budget.limits.perSecond * passed.count());
     }
     budget.lastRefill = now;
 }
@@ -85,7 +91,35 @@
 void noteFirstAttempt(RetryBudget &budget, TimePoint now)
 {
     refill(budget, now);
-    addTokens(budget, tokensPerFirstAttempt);
+    budget.recentAttempts += 1.0;
+    addTokens(budget, budget.limits.perFirstAttempt);
+}
+
+RetryBudgetLimits sharedLimits(double ratio, double constant, Milliseconds window,
+                               std::size_t nodes)
+{
+    const auto sharers = static_cast<double>(std::max(nodes, leastNodes));
+    const std::chrono::duration<double> seconds = window;
+    RetryBudgetLimits limits;
+    limits.perFirstAttempt = usedPart * ratio;
+    // The constant is spent once as savings and once as income of the window.
+    limits.largest = usedPart * constant / sharers / 2.0;
+    limits.perSecond = limits.largest / seconds.count();
+    limits.largestPerFirstAttempt = limits.perFirstAttempt / 2.0;
+    limits.window = window;
+    limits.countsNotRun = false;
+    return limits;
+}
+
+bool hasTokens(RetryBudget &budget, double tokens, TimePoint now)
+{
+    refill(budget, now);
+    return budget.tokens >= tokens;
+}
+
+void takeTokens(RetryBudget &budget, double tokens)
+{
+    budget.tokens -= tokens;
 }
 
 bool takeRetry(const Call &call, const AttemptEnd &end, Allowance &allowance, RetryBudget &budget,
@@ -96,6 +130,10 @@
         return false;
     if (now + end.expectedLatency >= call.deadline)
         return false;
+    const bool hasNotRun
+            = !end.result->has_value() && end.result->error().execution == Execution::NotRun;
+    if (hasNotRun && !budget.limits.countsNotRun)
+        return true;
     if (allowance.retries == 0 || budget.tokens < 1.0)
         return false;
     --allowance.retries;
--- a/Libraries/LibPolicy/Retry.h
+++ b/Libraries/LibPolicy/Retry.h
@@ -18,13 +18,38 @@
 /// returns nothing, which counts all of it as spent.
 void giveBack(Allowance &parent, const Allowance &lent, const Allowance &unspent);
 
+/// How many retries one node may make towards one service.
+struct RetryBudgetLimits
+{
+    double perFirstAttempt = 0.1;
+    double perSecond = 0.5; ///< Lets a service with little traffic retry at all.
+    double largest = 10.0;  ///< What can be saved up.
+    /// What can be saved up besides, for each first attempt in the last window.
+    double largestPerFirstAttempt = 0.0;
+    Milliseconds window{10'000};
+    /// Whether a retry of work that provably did not run counts. It need not where only what
+    /// reaches a target is limited.
+    bool countsNotRun = true;
+};
+
+/// The limits for one of `nodes` nodes that share, for each service and window, `constant` retries
+/// and `ratio` of the requests. Half is kept back for what nodes cannot know of each other:
+/// members that come and go, and repeats that callers make.
+[[nodiscard]] RetryBudgetLimits sharedLimits(double ratio, double constant, Milliseconds window,
+                                             std::size_t nodes);
+
 /// Caps the retries towards one service at a share of the first attempts.
 struct RetryBudget
 {
+    RetryBudgetLimits limits;
     double tokens = 3.0;
+    double recentAttempts = 0.0; ///< First attempts in about the last window.
     TimePoint lastRefill;
 };
 
+[[nodiscard]] bool hasTokens(RetryBudget &budget, double tokens, TimePoint now);
+void takeTokens(RetryBudget &budget, double tokens);
+
 /// Call for each first attempt.
 void noteFirstAttempt(RetryBudget &budget, TimePoint now);
 
--- a/Libraries/LibSettings/ParseSettings.cpp
+++ b/Libraries/LibSettings/ParseSettings.cpp
@@ -4,6 +4,8 @@
 
 #include <arpa/inet.h>
 
+#include <charconv>
+
 namespace chive {
 
 namespace {
@@ -100,6 +102,39 @@
     table->rejectUnknownKeys();
 }
 
+std::optional<double> numberIn(std::string_view text)
+{
+    double value = 0.0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size() || value < 0.0)
+        return std::nullopt;
+    return value;
+}
+
+/// A number that is not negative, written as a text, since templates put whole and broken numbers
+/// in the same place.
+double number(TomlTable &table, std::string_view key)
+{
+    const TextRule rule{[](std::string_view text) { return numberIn(text).has_value(); },
+                        "a number from 0 on as a text, \"0.2\""};
+    return numberIn(table.text(key, Presence::Required, rule)).value_or(0.0);
+}
+
+void parseRetries(TomlTable &file, Settings &settings)
+{
+    auto table = file.table("retries", Presence::Optional);
+    if (!table)
+        return;
+    constexpr double millisecondsPerSecond = 1000.0;
+    Settings::RetryBound bound;
+    bound.ratio = number(*table, "ratio");
+    bound.constant = number(*table, "constant");
+    bound.window = Milliseconds(
+            static_cast<std::int64_t>(number(*table, "window_s") * millisecondsPerSecond));
+    settings.retryBound = bound;
+    table->rejectUnknownKeys();
+}
+
 void parsePolicies(TomlTable &file, Settings &settings)
 {
     auto table = file.table("policies", Presence::Optional);
@@ -140,6 +175,7 @@
     parseTarget(*file, settings);
     parseMesh(*file, settings);
     parseLimits(*file, settings);
+    parseRetries(*file, settings);
     parsePolicies(*file, settings);
     parseLogging(*file, settings);
     file->rejectUnknownKeys();
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -63,6 +63,15 @@
     Milliseconds drainTimeout{30'000}; ///< How long a planned stop waits for work in flight.
     std::string logDirectory;          ///< glog files; empty logs to standard error.
 
+    /// Retries that all nodes together may make towards one service in any window.
+    struct RetryBound
+    {
+        double ratio = 0.0;    ///< Of the requests for it.
+        double constant = 0.0; ///< Besides.
+        Milliseconds window{10'000};
+    };
+    std::optional<RetryBound> retryBound; ///< Nothing: each node keeps a bound of its own.
+
     std::string choicePolicy = "two-choices"; ///< Plug-in that chooses the target.
     std::string admissionPolicy = "adaptive"; ///< Plug-in that admits work at a target.
 };
--- a/Services/Node/DrainTask.cpp
+++ b/Services/Node/DrainTask.cpp
@@ -13,6 +13,8 @@
 /// Peers learn within this time that the target is leaving, so new work may still arrive until
 /// then and is refused as not run or passed on.
 constexpr Milliseconds announcementTime{2'000};
+/// Longer than callers go on sending to a node that says that it is not ready (EntryTask).
+constexpr Milliseconds announcementTimeToCallers{3'200};
 constexpr Milliseconds checkInterval{20};
 
 /// Ends a planned stop once nothing is in flight and all peers had time to learn of it.
@@ -43,7 +45,9 @@
 
     void check()
     {
-        const bool hadTime = kernel_.clock().now() - began_ >= announcementTime;
+        const Milliseconds needed
+                = kernel_.settings().ready ? announcementTimeToCallers : announcementTime;
+        const bool hadTime = kernel_.clock().now() - began_ >= needed;
         if (hadTime && kernel_.inFlight() == 0)
             kernel_.bus().post(Drained{});
     }
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -3,18 +3,24 @@
 #include <LibKernel/Kernel.h>
 #include <LibNode/Dialect.h>
 #include <LibNode/Messages.h>
+#include <LibPolicy/RootShed.h>
 #include <Node/CallMetrics.h>
 
 #include <glog/logging.h>
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <random>
 #include <utility>
 
 namespace chive {
 
 namespace {
 
+/// Callers learn from two questions in a row, one a second, that a node is not ready.
+constexpr Milliseconds readinessLag{3'000};
+
 /// Takes the requests of callers and gives them whole answers or verdicts.
 class EntryTask final : public Task
 {
@@ -27,6 +33,8 @@
     {
         kernel.bus().subscribe<CatalogueChanged>(
                 [this](const CatalogueChanged &changed) { catalogue_ = changed.catalogue; });
+        kernel.bus().subscribe<PressureChanged>(
+                [this](const PressureChanged &changed) { pressures_ = changed.below; });
         kernel.bus().subscribe<CallRouted>([this](const CallRouted &routed) { finish(routed); });
         kernel.bus().subscribe<StopRequested>([this](const StopRequested &) { stop(); });
         kernel.addInFlight([this] { return open_.size() + (server_ ? server_->receiving() : 0); });
@@ -57,11 +65,18 @@
     {
         const TimePoint now = kernel_.clock().now();
         auto call = dialect_.readCall(
-                request, {*catalogue_, shares_, kernel_.settings().targetService}, now);
+                request,
+                {*catalogue_, shares_, kernel_.settings().targetService,
+                 kernel_.settings().callers.ip},
+                now);
         if (!call.has_value()) {
             refuse(*exchange, call.error(), request);
             return;
         }
+        if (const auto refusal = reasonToShed(call.value())) {
+            refuse(*exchange, *refusal, request);
+            return;
+        }
         const std::size_t size = bytesOf(request.body).size();
         if (bytesHeld_ + size > kernel_.settings().maximumBytesHeld) {
             refuse(*exchange, memoryVerdict(), request);
@@ -75,6 +90,21 @@
         kernel_.bus().post(RouteCall{token, std::move(shared)});
     }
 
+    /// Refuses a caller's request when a service that it leads to is full.
+    std::optional<Verdict> reasonToShed(const Call &call)
+    {
+        const auto found = pressures_->find(call.service);
+        if (call.isNested || found == pressures_->end())
+            return std::nullopt;
+        const double pressure = found->second;
+        std::uniform_real_distribution<double> draw(0.0, 1.0);
+        if (draw(random_) >= shedShare(pressure, call.importance))
+            return std::nullopt;
+        Verdict verdict = notRun(Reason::Overloaded, "a service that it leads to is full");
+        verdict.retryAfter = returnAfter(pressure, call.objective, draw(random_));
+        return verdict;
+    }
+
     static Verdict memoryVerdict()
     {
         Verdict verdict = notRun(Reason::Overloaded, "the node holds too many bytes of bodies");
@@ -105,16 +135,26 @@
                 dialect_.responseFor(routed.outcome.result, request.call->requestId));
     }
 
+    /// Callers that ask whether this node is ready go on sending until they have seen that it is
+    /// not.
     void stop()
     {
-        server_->stopAccepting();
         server_->closeAfterResponses();
+        if (!kernel_.settings().ready) {
+            server_->stopAccepting();
+            return;
+        }
+        acceptance_ = kernel_.loop().after(readinessLag, [this] { server_->stopAccepting(); });
     }
 
     Kernel &kernel_;
     CallMetrics metrics_;
     const Dialect &dialect_;
     ShareCounters shares_;
+    std::shared_ptr<const PressureByService> pressures_
+            = std::make_shared<const PressureByService>();
+    std::minstd_rand random_{std::random_device{}()};
+    Timer acceptance_;
     std::shared_ptr<const Catalogue> catalogue_;
     std::unique_ptr<HttpServer> server_;
     std::map<Token, OpenRequest> open_;
--- a/Services/Node/LinkFrame.cpp
+++ b/Services/Node/LinkFrame.cpp
@@ -8,7 +8,7 @@
 
 using nlohmann::json;
 
-constexpr auto lastTopic = Topic::Configuration;
+constexpr auto lastTopic = Topic::Pressure;
 
 } // namespace
 
--- a/Services/Node/RouterTask.cpp
+++ b/Services/Node/RouterTask.cpp
@@ -58,7 +58,7 @@
 public:
     explicit RouterTask(Kernel &kernel)
         : kernel_(kernel)
-        , chooser_(choicePlugin(kernel.settings().choicePolicy), kernel.settings().dataCentre)
+        , chooser_(choicePlugin(kernel.settings().choicePolicy), kernel.settings())
         , attemptsTotal_(prometheus::BuildCounter()
                                  .Name("chiverouter_attempts_total")
                                  .Help("Attempts to run a call, by service and order.")
@@ -80,6 +80,9 @@
         bus.subscribe<PeerLost>([this](const PeerLost &lost) { handleLost(lost); });
         bus.subscribe<MembersChanged>(
                 [this](const MembersChanged &changed) { chooser_.setMembers(*changed.members); });
+        bus.subscribe<PressureChanged>([this](const PressureChanged &changed) {
+            chooser_.setServicesBelow(changed.servicesBelow);
+        });
         kernel.addInFlight([this] { return routed_.size(); });
         kernel.addStatus("router", [this] {
             return nlohmann::json{{"calls", routed_.size()},
--- a/Services/Node/TargetChooser.cpp
+++ b/Services/Node/TargetChooser.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+/// Targets that one call is offered to at most. Those that turn it away cost little but time.
+constexpr std::size_t maximumTries = 4;
+/// Calls to each service below that a repeated run is taken to repeat.
+constexpr double nestedRepeats = 5.0;
+
 /// Whether a target turned the call away for lack of time or slots.
 bool isRefusedForOverload(const Judged<Answer> &result)
 {
@@ -36,14 +41,21 @@
 
 } // namespace
 
-TargetChooser::TargetChooser(const ChoicePlugin &plugin, std::string dataCentre)
+TargetChooser::TargetChooser(const ChoicePlugin &plugin, const Settings &settings)
     : plugin_(plugin)
-    , dataCentre_(std::move(dataCentre))
+    , dataCentre_(settings.dataCentre)
+    , retryBound_(settings.retryBound)
 {}
 
 void TargetChooser::setMembers(const std::vector<Member> &members)
 {
     members_ = members;
+    if (retryBound_) {
+        retryLimits_ = sharedLimits(retryBound_->ratio, retryBound_->constant, retryBound_->window,
+                                    members.size());
+        for (auto &[name, service] : services_)
+            service.budget.limits = *retryLimits_;
+    }
     for (auto &[name, service] : services_)
         retainTargets(service.choice, candidatesOf(membersOf(name, {})));
 }
@@ -59,7 +71,10 @@
                                     TimePoint now)
 {
     ServiceState &service = services_[call.service];
-    if (tried.empty())
+    if (retryLimits_)
+        service.budget.limits = *retryLimits_;
+    // The bound that nodes share counts what callers send, not what targets call.
+    if (tried.empty() && !(retryBound_ && call.isNested))
         noteFirstAttempt(service.budget, now);
     const auto members = membersOf(call.service, tried);
     const auto index = plugin_.choose(service.choice, candidatesOf(members),
@@ -94,6 +109,12 @@
 bool TargetChooser::takeRetry(const Call &call, const CallOutcome &outcome,
                               const std::set<std::string> &tried, Allowance &left, TimePoint now)
 {
+    if (tried.size() >= maximumTries)
+        return false;
+    const bool mayHaveRun = outcome.result.has_value()
+                            || outcome.result.error().execution != Execution::NotRun;
+    if (mayHaveRun && !allowsNestedRepeats(call, now))
+        return false;
     ServiceState &service = services_[call.service];
     auto others = membersOf(call.service, tried);
     // Under overload the budget must not go on calls that the next target would refuse as well.
@@ -114,7 +135,30 @@
         shortest = std::min(latency, shortest.value_or(latency));
     }
     end.expectedLatency = shortest.value_or(Microseconds(0));
-    return chive::takeRetry(call, end, left, service.budget, now);
+    if (!chive::takeRetry(call, end, left, service.budget, now))
+        return false;
+    if (mayHaveRun)
+        takeNestedRepeats(call);
+    return true;
+}
+
+bool TargetChooser::allowsNestedRepeats(const Call &call, TimePoint now)
+{
+    const auto below = below_->find(call.service);
+    if (!retryBound_ || below == below_->end())
+        return true;
+    return std::ranges::all_of(below->second, [&](const std::string &service) {
+        return hasTokens(services_[service].budget, nestedRepeats, now);
+    });
+}
+
+void TargetChooser::takeNestedRepeats(const Call &call)
+{
+    const auto below = below_->find(call.service);
+    if (!retryBound_ || below == below_->end())
+        return;
+    for (const std::string &service : below->second)
+        takeTokens(services_[service].budget, nestedRepeats);
 }
 
 std::map<std::string, double> TargetChooser::retryBudgets() const
--- a/Services/Node/TargetChooser.h
+++ b/Services/Node/TargetChooser.h
@@ -7,6 +7,8 @@
 #include <LibPolicy/Retry.h>
 
 #include <map>
+#include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -18,10 +20,13 @@
 class TargetChooser
 {
 public:
-    TargetChooser(const ChoicePlugin &plugin, std::string dataCentre);
+    TargetChooser(const ChoicePlugin &plugin, const Settings &settings);
 
     void setMembers(const std::vector<Member> &members);
 
+    /// Which services the calls of each service lead to; a repeated run repeats its calls.
+    void setServicesBelow(std::shared_ptr<const ServicesBelow> below) { below_ = std::move(below); }
+
     /// Whether to refuse the call here because every target would. Counts the call as offered.
     [[nodiscard]] bool shouldShed(const Call &call, TimePoint now);
 
@@ -62,6 +67,10 @@
         RetryBudget budget;
     };
 
+    /// Whether the services that the call leads to may see the calls of a repeated run.
+    [[nodiscard]] bool allowsNestedRepeats(const Call &call, TimePoint now);
+    void takeNestedRepeats(const Call &call);
+
     [[nodiscard]] std::vector<const Member *> membersOf(const std::string &service,
                                                         const std::set<std::string> &tried) const;
     [[nodiscard]] std::vector<Candidate>
@@ -69,6 +78,9 @@
 
     const ChoicePlugin &plugin_;
     std::string dataCentre_;
+    std::optional<Settings::RetryBound> retryBound_;
+    std::optional<RetryBudgetLimits> retryLimits_; ///< From the bound and the count of members.
+    std::shared_ptr<const ServicesBelow> below_ = std::make_shared<const ServicesBelow>();
     std::vector<Member> members_;
     std::map<std::string, ServiceState, std::less<>> services_;
 };
--- a/Services/Node/TargetSide.cpp
+++ b/Services/Node/TargetSide.cpp
@@ -171,7 +171,8 @@
                              const std::shared_ptr<HttpExchange> &exchange)
 {
     auto call = dialect_.readCall(request,
-                                  {*catalogue_, shares_, kernel_.settings().targetService},
+                                  {*catalogue_, shares_, kernel_.settings().targetService,
+                                   kernel_.settings().targetCalls.ip},
                                   kernel_.clock().now());
     if (!call.has_value()) {
         exchange->respond(dialect_.responseFor(call.error(), dialect_.requestIdOf(request)));
--- a/Services/Node/TargetTask.cpp
+++ b/Services/Node/TargetTask.cpp
@@ -23,6 +23,7 @@
 
 /// Expired work in the queue is answered within this time.
 constexpr Milliseconds queueInterval{5};
+constexpr Milliseconds pressureInterval{50};
 /// The verdict on a call whose connection broke waits until the nodes beside other targets know
 /// the suspects if it was a crash: no retry may reach them before.
 constexpr Milliseconds crashReportTime{100};
@@ -68,6 +69,7 @@
     {
         side_.start();
         tick_ = kernel_.loop().every(queueInterval, [this] { startWork(); });
+        pressureTimer_ = kernel_.loop().every(pressureInterval, [this] { tellPressure(); });
     }
 
 private:
@@ -154,7 +156,7 @@
         const Call &call = *work.call;
         const TimePoint now = kernel_.clock().now();
         const OfferDecision decision = admission_->offer(
-                admissionState_, {call.importance, call.duration, call.deadline}, token, now);
+                admissionState_, {call.importance, call.duration, call.deadline, call.isNested}, token, now);
         for (const DroppedWork &dropped : decision.evicted)
             end(dropped.token, dropped.verdict);
         if (decision.admitted == Admitted::Refuse)
@@ -357,6 +359,15 @@
         resize(admissionState_, settings);
     }
 
+    void tellPressure()
+    {
+        const TargetLoad load = loadOf(admissionState_, kernel_.clock().now());
+        const bool isUsable = side_.isPresent() && !side_.isDraining() && !isStopping_;
+        kernel_.bus().post(TargetPressure{
+                isUsable ? side_.service() : std::string(),
+                static_cast<double>(load.inFlight + load.queued) / std::max(load.limit, 1U)});
+    }
+
     [[nodiscard]] nlohmann::json report() const
     {
         const TargetLoad load = loadOf(admissionState_, kernel_.clock().now());
@@ -384,6 +395,7 @@
     AdmissionState admissionState_ = makeAdmissionState({});
     std::map<Token, Work> work_;
     Timer tick_;
+    Timer pressureTimer_;
     bool isStopping_ = false;
 };
 
