Policy: Refuse whole trees of calls early, by the pressure of what they lead to

Ruled out: telling nested calls by the sender's address (callers share it with the target, seen in a trial).

Change: nodes report how full their target is and which kinds enter beside it; kinds that enter beside some services only are nested. Requests of callers are refused at the entry, the less important the earlier; nested calls never. Admission estimates by kind and not from errors. One line for each decision on standard output, bounded, never blocking.

--- a/Libraries/LibCatalogue/Catalogue.h
+++ b/Libraries/LibCatalogue/Catalogue.h
@@ -54,9 +54,9 @@
 struct Service
 {
     std::string name;
-    std::uint32_t slots = 100;        ///< Requests that one target can run at once.
-    std::uint32_t connections = 1000; ///< Connections that one target accepts.
-    std::uint32_t longShare = 30;     ///< Percent of the slots that long kinds may hold at most.
+    std::uint32_t slots = 100;          ///< Requests that one target can run at once.
+    std::uint32_t connections = 1000;   ///< Connections that one target accepts.
+    std::uint32_t longShare = 30;       ///< Percent of the slots that long kinds may hold at most.
     std::string healthPath = "/health"; ///< Of the targets' health check.
     std::vector<Kind> kinds;
 
--- a/Libraries/LibCore/Verdict.cpp
+++ b/Libraries/LibCore/Verdict.cpp
@@ -62,12 +62,12 @@
 
 Verdict notRun(Reason reason, std::string detail)
 {
-    return {Execution::NotRun, reason, std::nullopt, false, std::move(detail)};
+    return {Execution::NotRun, reason, std::nullopt, false, false, std::move(detail)};
 }
 
 Verdict mayHaveRun(Reason reason, std::string detail)
 {
-    return {Execution::MayHaveRun, reason, std::nullopt, false, std::move(detail)};
+    return {Execution::MayHaveRun, reason, std::nullopt, false, false, std::move(detail)};
 }
 
 std::string_view nameOf(Execution execution)
--- a/Libraries/LibCore/Verdict.h
+++ b/Libraries/LibCore/Verdict.h
@@ -48,6 +48,8 @@
     std::optional<Milliseconds> retryAfter;
     /// Set when a hop further down has already spent what retries are worth making.
     bool retriedBelow = false;
+    /// Set when the request came as far as a target, which turned it away.
+    bool hasReachedTarget = false;
     std::string detail;
 };
 
--- a/Libraries/LibHttp/HttpMessage.h
+++ b/Libraries/LibHttp/HttpMessage.h
@@ -18,7 +18,6 @@
     std::string target = "/"; ///< Path and query.
     std::vector<Header> headers;
     std::shared_ptr<const std::string> body; ///< Null means empty.
-    std::string peerIp = {}; ///< Of the sender, on requests that a server received.
 };
 
 struct HttpResponse
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -56,11 +56,6 @@
     std::string body(evbuffer_get_length(input), '\0');
     evbuffer_copyout(input, body.data(), body.size());
     result.body = makeBody(std::move(body));
-    char *ip = nullptr;
-    std::uint16_t port = 0;
-    evhttp_connection_get_peer(evhttp_request_get_connection(request), &ip, &port);
-    if (ip != nullptr)
-        result.peerIp = ip;
     return result;
 }
 
--- a/Libraries/LibKernel/Kernel.h
+++ b/Libraries/LibKernel/Kernel.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibKernel/Bus.h>
+#include <LibKernel/DecisionLog.h>
 #include <LibKernel/EventLoop.h>
 #include <LibKernel/Registry.h>
 #include <LibSettings/Settings.h>
@@ -54,6 +55,7 @@
     [[nodiscard]] const Clock &clock() const { return clock_; }
     [[nodiscard]] EventLoop &loop() { return loop_; }
     [[nodiscard]] Bus &bus() { return bus_; }
+    [[nodiscard]] DecisionLog &decisions() { return decisions_; }
     [[nodiscard]] prometheus::Registry &metrics() { return *metrics_; }
 
     /// Names a part of the status report; the function is called for each report.
@@ -64,7 +66,8 @@
     void addInFlight(std::function<std::size_t()> count);
     [[nodiscard]] std::size_t inFlight() const;
 
-    /// Creates every registered task that the settings want, starts them and runs until the loop stops.
+    /// Creates every registered task that the settings want, starts them and runs until the loop
+    /// stops.
     void run();
 
 private:
@@ -72,6 +75,7 @@
     const Clock &clock_;
     EventLoop loop_;
     Bus bus_{loop_};
+    DecisionLog decisions_{loop_, clock_};
     std::shared_ptr<prometheus::Registry> metrics_;
     std::map<std::string, std::function<nlohmann::json()>> status_;
     std::vector<std::function<std::size_t()>> inFlight_;
--- a/Libraries/LibNode/Call.h
+++ b/Libraries/LibNode/Call.h
@@ -40,7 +40,7 @@
     TimePoint deadline;
     bool isNested = false;     ///< Made by a target for work that has begun.
     Milliseconds objective{0}; ///< An answer within it is worth most; 0: none is known.
-    Allowance allowance; ///< Lent to this call; what is unspent comes back with the answer.
+    Allowance allowance;       ///< Lent to this call; what is unspent comes back with the answer.
 };
 
 /// What a node tells its peers about the target beside it, carried on every answer.
--- a/Libraries/LibNode/CallCodec.cpp
+++ b/Libraries/LibNode/CallCodec.cpp
@@ -109,9 +109,8 @@
 json encodeVerdict(const Verdict &verdict)
 {
     json value = {
-            {"execution", verdict.execution},
-            {"reason", verdict.reason},
-            {"below", verdict.retriedBelow},
+            {"execution", verdict.execution}, {"reason", verdict.reason},
+            {"below", verdict.retriedBelow},  {"reached", verdict.hasReachedTarget},
             {"detail", verdict.detail},
     };
     if (verdict.retryAfter)
@@ -125,6 +124,7 @@
     verdict.execution = decodeEnum(value.at("execution"), Execution::HasRun);
     verdict.reason = decodeEnum(value.at("reason"), Reason::NotReady);
     verdict.retriedBelow = value.at("below").get<bool>();
+    verdict.hasReachedTarget = value.at("reached").get<bool>();
     verdict.detail = value.at("detail").get<std::string>();
     if (value.contains("after"))
         verdict.retryAfter = Milliseconds(value.at("after").get<std::int64_t>());
--- a/Libraries/LibNode/Dialect.h
+++ b/Libraries/LibNode/Dialect.h
@@ -22,7 +22,6 @@
     const Catalogue &catalogue;
     ShareCounters &shares;         ///< Spreads the requests of a route over its services.
     std::string_view localService; ///< Service of the VM on which the request began.
-    std::string_view localIp;      ///< Of that VM; its target's calls come from there.
 };
 
 /// What a target needs to be told besides the call itself.
--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -219,20 +219,30 @@
 /// From the target task, several times a second: how full the target beside this node is.
 struct TargetPressure
 {
-    std::string service; ///< Empty while there is no target.
+    std::string service;   ///< Empty while there is no target.
     double pressure = 0.0; ///< PressureReport::pressure.
 };
 
-using PressureByService = std::map<std::string, double, std::less<>>;
+/// How full a service is, and the fullest among it and all that its calls lead to.
+struct ServicePressure
+{
+    double own = 0.0;
+    double below = 0.0;
+};
+
+using PressureByService = std::map<std::string, ServicePressure, std::less<>>;
 
 /// All services that the calls of each service lead to, itself not among them.
 using ServicesBelow = std::map<std::string, std::set<std::string>, std::less<>>;
 
-/// From the pressure task: the highest pressure among each service and all that it leads to.
+using KindSet = std::set<std::string, std::less<>>;
+
+/// From the pressure task, several times a second.
 struct PressureChanged
 {
-    std::shared_ptr<const PressureByService> below;
+    std::shared_ptr<const PressureByService> pressures;
     std::shared_ptr<const ServicesBelow> servicesBelow;
+    std::shared_ptr<const KindSet> nestedKinds; ///< That only targets send, as far as is known.
 };
 
 // ---- Status reports ----------------------------------------------------------------------------
--- a/Libraries/LibPolicy/AdaptiveAdmission.cpp
+++ b/Libraries/LibPolicy/AdaptiveAdmission.cpp
@@ -60,9 +60,11 @@
     return std::chrono::nanoseconds(static_cast<std::int64_t>(milliseconds * 1e6));
 }
 
-std::chrono::nanoseconds serviceTime(const AdmissionState &state, Duration duration)
+/// The time that work of this kind takes on the target; 0 before the first has ended.
+std::chrono::nanoseconds serviceTime(const AdmissionState &state, const WorkAttributes &attributes)
 {
-    return fromMilliseconds(duration == Duration::Long ? state.longLatency : state.shortLatency);
+    const auto known = state.latencyByKind.find({attributes.duration, attributes.kind});
+    return fromMilliseconds(known == state.latencyByKind.end() ? 0.0 : known->second);
 }
 
 /// Whether no work of this duration runs. An idle target is tried whatever the estimate says,
@@ -111,11 +113,11 @@
     }));
 }
 
-Verdict overloaded(const AdmissionState &state, Duration duration)
+Verdict overloaded(const AdmissionState &state, const WorkAttributes &attributes)
 {
     Verdict verdict = notRun(Reason::Overloaded, "the target is at its limit");
     const auto estimate
-            = std::chrono::duration_cast<Milliseconds>(10 * serviceTime(state, duration));
+            = std::chrono::duration_cast<Milliseconds>(10 * serviceTime(state, attributes));
     verdict.retryAfter = std::clamp(estimate, shortestRetryAfter, longestRetryAfter);
     return verdict;
 }
@@ -136,7 +138,7 @@
 OfferDecision refuse(AdmissionState &state, const WorkAttributes &attributes, TimePoint now)
 {
     lowerAdmitted(state, attributes, now);
-    return {Admitted::Refuse, overloaded(state, attributes.duration), {}};
+    return {Admitted::Refuse, overloaded(state, attributes), {}};
 }
 
 /// The queued work of this duration that would start last, or the end.
@@ -164,7 +166,7 @@
 
     const QueuedWork work{token, attributes, state.arrivals++};
     const Duration duration = attributes.duration;
-    if (!isIdle(state, duration) && now + serviceTime(state, duration) > attributes.deadline)
+    if (!isIdle(state, duration) && now + serviceTime(state, attributes) > attributes.deadline)
         return {Admitted::Refuse, notRun(Reason::DeadlineExceeded, "it would end too late"), {}};
     if (hasFreeSlot(state, duration) && queuedOf(state, duration) == 0) {
         markRunning(state, token, duration);
@@ -172,7 +174,7 @@
     }
 
     noteBinding(state.limit);
-    const auto end = now + waitingTime(state, work) + serviceTime(state, duration);
+    const auto end = now + waitingTime(state, work) + serviceTime(state, attributes);
     if (end > attributes.deadline)
         return refuse(state, attributes, now);
 
@@ -185,7 +187,7 @@
     if (isLastLessImportant
         && queuedOf(state, duration) >= queueCapacity(state, duration, Importance::Low)) {
         lowerAdmitted(state, last->attributes, now);
-        decision.evicted.push_back({last->token, overloaded(state, duration)});
+        decision.evicted.push_back({last->token, overloaded(state, last->attributes)});
         state.queue.erase(last);
     }
     enqueue(state, work);
@@ -197,7 +199,7 @@
     std::erase_if(state.queue, [&](const QueuedWork &work) {
         const Duration duration = work.attributes.duration;
         const auto needed = isIdle(state, duration) ? std::chrono::nanoseconds(0)
-                                                    : serviceTime(state, duration);
+                                                    : serviceTime(state, work.attributes);
         if (now + needed < work.attributes.deadline)
             return false;
         lowerAdmitted(state, work.attributes, now);
--- a/Libraries/LibPolicy/Admission.cpp
+++ b/Libraries/LibPolicy/Admission.cpp
@@ -49,8 +49,10 @@
     if (!duration)
         return;
     const bool isShort = *duration == Duration::Short;
-    if (!end.wasOverloaded)
+    if (!end.wasOverloaded && !end.hasFailed) {
         smooth(isShort ? state.shortLatency : state.longLatency, end.latency);
+        smooth(state.latencyByKind[{*duration, end.kind}], end.latency);
+    }
     addSample(state.limit, {end.latency, isShort, end.wasOverloaded}, now);
 }
 
--- a/Libraries/LibPolicy/Admission.h
+++ b/Libraries/LibPolicy/Admission.h
@@ -10,7 +10,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 /// Admission of work at the node beside a target: run now, wait in a short queue, or be refused.
@@ -26,6 +28,7 @@
     Duration duration = Duration::Short;
     TimePoint deadline;
     bool isNested = false; ///< Part of a tree that has begun; goes before new work.
+    std::string kind;      ///< Kinds differ in how long they run.
 };
 
 struct AdmissionSettings
@@ -52,6 +55,7 @@
     std::uint64_t arrivals = 0;
     double shortLatency = 0.0; ///< Smoothed time on the target, milliseconds; 0 before the first.
     double longLatency = 0.0;  ///< The same for long work.
+    std::map<std::pair<Duration, std::string>, double> latencyByKind; ///< The same for each kind.
     std::uint8_t admitted = importanceLevels - 1;
     TimePoint admittedUntil; ///< Until then the lowered level `admitted` stands.
 };
@@ -87,6 +91,8 @@
 {
     Microseconds latency{0};    ///< Time on the target.
     bool wasOverloaded = false; ///< The target refused it because of overload.
+    bool hasFailed = false;     ///< It ended in an error, so the latency tells nothing of its work.
+    std::string kind = {};
 };
 
 /// One way of admission.
--- a/Libraries/LibPolicy/Retry.cpp
+++ b/Libraries/LibPolicy/Retry.cpp
@@ -107,7 +107,7 @@
     limits.perSecond = limits.largest / seconds.count();
     limits.largestPerFirstAttempt = limits.perFirstAttempt / 2.0;
     limits.window = window;
-    limits.countsNotRun = false;
+    limits.countsUnreached = false;
     return limits;
 }
 
@@ -122,6 +122,12 @@
     budget.tokens -= tokens;
 }
 
+bool hasReachedTarget(const Judged<Answer> &result)
+{
+    return result.has_value() || result.error().execution != Execution::NotRun
+           || result.error().hasReachedTarget;
+}
+
 bool takeRetry(const Call &call, const AttemptEnd &end, Allowance &allowance, RetryBudget &budget,
                TimePoint now)
 {
@@ -130,9 +136,7 @@
         return false;
     if (now + end.expectedLatency >= call.deadline)
         return false;
-    const bool hasNotRun
-            = !end.result->has_value() && end.result->error().execution == Execution::NotRun;
-    if (hasNotRun && !budget.limits.countsNotRun)
+    if (!hasReachedTarget(*end.result) && !budget.limits.countsUnreached)
         return true;
     if (allowance.retries == 0 || budget.tokens < 1.0)
         return false;
--- a/Libraries/LibPolicy/Retry.h
+++ b/Libraries/LibPolicy/Retry.h
@@ -27,9 +27,8 @@
     /// What can be saved up besides, for each first attempt in the last window.
     double largestPerFirstAttempt = 0.0;
     Milliseconds window{10'000};
-    /// Whether a retry of work that provably did not run counts. It need not where only what
-    /// reaches a target is limited.
-    bool countsNotRun = true;
+    /// Whether a retry counts also when the attempt before it provably reached no target.
+    bool countsUnreached = true;
 };
 
 /// The limits for one of `nodes` nodes that share, for each service and window, `constant` retries
@@ -62,6 +61,9 @@
     Microseconds expectedLatency{0}; ///< Of the next attempt.
 };
 
+/// Whether the attempt came, or may have come, as far as a target.
+[[nodiscard]] bool hasReachedTarget(const Judged<Answer> &result);
+
 /// Whether to try again elsewhere. True takes one retry from the allowance and the budget.
 [[nodiscard]] bool takeRetry(const Call &call, const AttemptEnd &end, Allowance &allowance,
                              RetryBudget &budget, TimePoint now);
--- a/Libraries/LibPolicy/RootShed.cpp
+++ b/Libraries/LibPolicy/RootShed.cpp
@@ -9,7 +9,7 @@
 
 /// Where refusal begins, by importance: below a full service for what may wait, at a queue of its
 /// own for what must go on.
-constexpr std::array<double, importanceLevels> sheddingBegins{1.30, 1.10, 0.80, 0.70};
+constexpr std::array<double, importanceLevels> sheddingBegins{1.20, 1.10, 0.65, 0.55};
 /// From the beginning to the refusal of all.
 constexpr double sheddingWidth = 0.40;
 
@@ -30,8 +30,8 @@
 Milliseconds returnAfter(double pressure, Milliseconds objective, double draw)
 {
     const Milliseconds base = objective == Milliseconds(0) ? usualObjective : objective;
-    const double factor = (leastReturn + (mostReturn - leastReturn) * draw)
-                          * std::clamp(pressure, 1.0, 2.0);
+    const double factor
+            = (leastReturn + (mostReturn - leastReturn) * draw) * std::clamp(pressure, 1.0, 2.0);
     return Milliseconds(static_cast<std::int64_t>(factor * static_cast<double>(base.count())));
 }
 
--- a/Libraries/LibPolicy/ServicePressure.cpp
+++ b/Libraries/LibPolicy/ServicePressure.cpp
@@ -23,16 +23,39 @@
     }
 };
 
+bool isRecent(const PressureTable::Entry &entry, TimePoint now)
+{
+    return now - entry.receivedAt <= reportLifetime;
+}
+
+/// Beside targets of which services each kind has entered.
+std::map<std::string_view, std::set<std::string_view>> entriesByKind(const PressureTable &table,
+                                                                     TimePoint now)
+{
+    std::map<std::string_view, std::set<std::string_view>> entries;
+    for (const auto &[nodeId, entry] : table.byNode) {
+        if (!isRecent(entry, now))
+            continue;
+        for (const auto &[kind, service] : entry.report.enteredKinds)
+            entries[kind].insert(entry.report.service);
+    }
+    return entries;
+}
+
 std::map<std::string_view, ServiceState> collect(const PressureTable &table, TimePoint now)
 {
+    const auto nested = nestedKinds(table, now);
     std::map<std::string_view, ServiceState> services;
     for (const auto &[nodeId, entry] : table.byNode) {
-        if (now - entry.receivedAt > reportLifetime)
+        if (!isRecent(entry, now))
             continue;
         ServiceState &state = services[entry.report.service];
         state.sum += entry.report.pressure;
         ++state.targets;
-        state.calls.insert(entry.report.calledServices.begin(), entry.report.calledServices.end());
+        for (const auto &[kind, service] : entry.report.enteredKinds) {
+            if (nested.contains(kind))
+                state.calls.insert(service);
+        }
     }
     return services;
 }
@@ -64,6 +87,13 @@
                                   PressureTable::Entry{std::move(report), now});
 }
 
+double pressureOf(const PressureTable &table, std::string_view service, TimePoint now)
+{
+    const auto services = collect(table, now);
+    const auto found = services.find(service);
+    return found == services.end() ? 0.0 : found->second.mean();
+}
+
 double pressureBelow(const PressureTable &table, std::string_view service, TimePoint now)
 {
     const auto services = collect(table, now);
@@ -76,6 +106,21 @@
     return highest;
 }
 
+std::set<std::string, std::less<>> nestedKinds(const PressureTable &table, TimePoint now)
+{
+    std::set<std::string_view> services;
+    for (const auto &[nodeId, entry] : table.byNode) {
+        if (isRecent(entry, now) && !entry.report.enteredKinds.empty())
+            services.insert(entry.report.service);
+    }
+    std::set<std::string, std::less<>> nested;
+    for (const auto &[kind, entered] : entriesByKind(table, now)) {
+        if (entered.size() < services.size())
+            nested.emplace(kind);
+    }
+    return nested;
+}
+
 std::set<std::string> servicesBelow(const PressureTable &table, std::string_view service,
                                     TimePoint now)
 {
@@ -87,8 +132,7 @@
 
 void forgetOldReports(PressureTable &table, TimePoint now)
 {
-    std::erase_if(table.byNode,
-                  [&](const auto &entry) { return now - entry.second.receivedAt > reportLifetime; });
+    std::erase_if(table.byNode, [&](const auto &entry) { return !isRecent(entry.second, now); });
 }
 
 } // namespace chive
--- a/Libraries/LibSettings/ParseSettings.cpp
+++ b/Libraries/LibSettings/ParseSettings.cpp
@@ -69,8 +69,8 @@
     settings.targetService = table->text("service", Presence::Optional, identifierRule());
     if (table->has("endpoint"))
         settings.target = endpoint(*table, "endpoint");
-    settings.targetLease = Milliseconds(
-            table->integer("lease_ms", settings.targetLease.count(), leaseRange));
+    settings.targetLease
+            = Milliseconds(table->integer("lease_ms", settings.targetLease.count(), leaseRange));
     table->rejectUnknownKeys();
 }
 
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -49,11 +49,11 @@
         Store,
     };
     Backing backing = Backing::Log;
-    Endpoint log;                ///< The platform's log service; used with Backing::Log.
-    Endpoint store;              ///< The platform's store; used with Backing::Store.
+    Endpoint log;   ///< The platform's log service; used with Backing::Log.
+    Endpoint store; ///< The platform's store; used with Backing::Store.
 
-    std::string targetService;      ///< Service of the target beside this node; empty: any.
-    std::optional<Endpoint> target; ///< Its only address; nothing: any that it announces.
+    std::string targetService;       ///< Service of the target beside this node; empty: any.
+    std::optional<Endpoint> target;  ///< Its only address; nothing: any that it announces.
     Milliseconds targetLease{3'000}; ///< A target that is silent for longer is taken for gone.
 
     std::vector<Endpoint> peers; ///< Link endpoints to ask when the log is down at the start.
--- a/Meta/lint-one.sh
+++ b/Meta/lint-one.sh
@@ -3,7 +3,7 @@
 # headers of ours that it includes.
 set -euo pipefail
 file=$1
-includes=(-ILibraries -IServices -IUtilities -ITests)
+includes=(-I. -ILibraries -IServices -IUtilities -ITests)
 mapfile -t parts < <(g++ -std=c++20 -MM "${includes[@]}" "$file" 2>/dev/null | tr -d '\\\n' | cut -d: -f2 | tr -s ' ' '\n' | grep . || echo "$file")
 key=$(cat .clang-tidy "${parts[@]}" | sha256sum | cut -c1-40)
 [ -e "$LINT_CACHE/$key" ] && exit 0
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -4,5 +4,6 @@
 cd "$(dirname "$0")/.."
 Meta/install.sh
 Meta/build.sh
+Meta/check-platform-names.sh
 Meta/lint.sh
 Meta/run-tests.sh
--- a/Services/Node/ConfigurationTask.cpp
+++ b/Services/Node/ConfigurationTask.cpp
@@ -86,8 +86,8 @@
         versionGauge_.Set(static_cast<double>(version_));
         LOG(INFO) << "task=configuration event=in-force version=" << version_
                   << " source=" << source << " hosts=" << catalogue.value().routes.size();
-        kernel_.bus().post(CatalogueChanged{
-                std::make_shared<const Catalogue>(std::move(catalogue.value()))});
+        kernel_.bus().post(
+                CatalogueChanged{std::make_shared<const Catalogue>(std::move(catalogue.value()))});
         tellSome();
     }
 
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/Identifier.h>
 #include <LibHttp/HttpServer.h>
 #include <LibKernel/Kernel.h>
+#include <LibNode/DecisionLines.h>
 #include <LibNode/Dialect.h>
 #include <LibNode/Messages.h>
 #include <LibPolicy/RootShed.h>
@@ -33,8 +34,10 @@
     {
         kernel.bus().subscribe<CatalogueChanged>(
                 [this](const CatalogueChanged &changed) { catalogue_ = changed.catalogue; });
-        kernel.bus().subscribe<PressureChanged>(
-                [this](const PressureChanged &changed) { pressures_ = changed.below; });
+        kernel.bus().subscribe<PressureChanged>([this](const PressureChanged &changed) {
+            pressures_ = changed.pressures;
+            nestedKinds_ = changed.nestedKinds;
+        });
         kernel.bus().subscribe<CallRouted>([this](const CallRouted &routed) { finish(routed); });
         kernel.bus().subscribe<StopRequested>([this](const StopRequested &) { stop(); });
         kernel.addInFlight([this] { return open_.size() + (server_ ? server_->receiving() : 0); });
@@ -65,15 +68,14 @@
     {
         const TimePoint now = kernel_.clock().now();
         auto call = dialect_.readCall(
-                request,
-                {*catalogue_, shares_, kernel_.settings().targetService,
-                 kernel_.settings().callers.ip},
-                now);
+                request, {*catalogue_, shares_, kernel_.settings().targetService}, now);
         if (!call.has_value()) {
             refuse(*exchange, call.error(), request);
             return;
         }
+        call.value().isNested = nestedKinds_->contains(call.value().kind);
         if (const auto refusal = reasonToShed(call.value())) {
+            noteDecision(call.value(), *refusal, std::chrono::nanoseconds(0));
             refuse(*exchange, *refusal, request);
             return;
         }
@@ -96,7 +98,7 @@
         const auto found = pressures_->find(call.service);
         if (call.isNested || found == pressures_->end())
             return std::nullopt;
-        const double pressure = found->second;
+        const double pressure = pressureFor(call.importance, found->second);
         std::uniform_real_distribution<double> draw(0.0, 1.0);
         if (draw(random_) >= shedShare(pressure, call.importance))
             return std::nullopt;
@@ -105,6 +107,31 @@
         return verdict;
     }
 
+    /// Some kinds of a service call others and some do not, which the reports cannot tell apart.
+    /// What is important is refused for its own service only; refusing the rest makes room below.
+    static double pressureFor(Importance importance, const ServicePressure &pressure)
+    {
+        return importance <= Importance::High ? pressure.own : pressure.below;
+    }
+
+    void noteDecision(const Call &call, const Judged<Answer> &result,
+                      std::chrono::nanoseconds latency)
+    {
+        const LineWeight weight = weightOf(result);
+        if (!kernel_.decisions().takes(weight))
+            return;
+        const auto pressure = pressures_->find(call.service);
+        kernel_.decisions().add(
+                weight, decisionLine(call, result,
+                                     {"request",
+                                      latency,
+                                      catalogue_->version,
+                                      pressure == pressures_->end()
+                                              ? 0.0
+                                              : pressureFor(call.importance, pressure->second),
+                                      {}}));
+    }
+
     static Verdict memoryVerdict()
     {
         Verdict verdict = notRun(Reason::Overloaded, "the node holds too many bytes of bodies");
@@ -129,8 +156,9 @@
         const OpenRequest request = std::move(found->second);
         open_.erase(found);
         bytesHeld_ -= request.bytesHeld;
-        metrics_.countFinished(*request.call, routed.outcome.result,
-                               kernel_.clock().now() - request.since);
+        const auto latency = kernel_.clock().now() - request.since;
+        metrics_.countFinished(*request.call, routed.outcome.result, latency);
+        noteDecision(*request.call, routed.outcome.result, latency);
         request.exchange->respond(
                 dialect_.responseFor(routed.outcome.result, request.call->requestId));
     }
@@ -153,6 +181,7 @@
     ShareCounters shares_;
     std::shared_ptr<const PressureByService> pressures_
             = std::make_shared<const PressureByService>();
+    std::shared_ptr<const KindSet> nestedKinds_ = std::make_shared<const KindSet>();
     std::minstd_rand random_{std::random_device{}()};
     Timer acceptance_;
     std::shared_ptr<const Catalogue> catalogue_;
--- a/Services/Node/PressureTask.cpp
+++ b/Services/Node/PressureTask.cpp
@@ -24,11 +24,11 @@
 /// An idle target is reported only this often, in intervals.
 constexpr int idleReports = 5;
 constexpr double idlePressure = 0.3;
-/// A service counts as called by the target for this long after a call.
-constexpr Milliseconds callMemory{5'000};
+/// A kind counts as entering here for this long after a request.
+constexpr Milliseconds kindMemory{5'000};
 
-/// Tells all nodes how full the target beside this one is and which services it calls, collects
-/// what they tell, and posts the pressure below each service.
+/// Tells all nodes how full the target beside this one is and which kinds of requests enter here,
+/// collects what they tell, and posts the pressure below each service and which kinds are nested.
 class PressureTask final : public Task
 {
 public:
@@ -43,8 +43,7 @@
         Bus &bus = kernel.bus();
         bus.subscribe<TargetPressure>([this](const TargetPressure &message) { latest_ = message; });
         bus.subscribe<RouteCall>([this](const RouteCall &message) {
-            if (message.call->isNested)
-                calledAt_[message.call->service] = kernel_.clock().now();
+            entered_[message.call->kind] = {message.call->service, kernel_.clock().now()};
         });
         bus.subscribe<MembersChanged>(
                 [this](const MembersChanged &changed) { members_ = changed.members; });
@@ -60,11 +59,17 @@
     }
 
 private:
+    struct EnteredKind
+    {
+        std::string service;
+        TimePoint at; ///< Of the latest request.
+    };
+
     void report()
     {
         const TimePoint now = kernel_.clock().now();
-        std::erase_if(calledAt_,
-                      [&](const auto &entry) { return now - entry.second > callMemory; });
+        std::erase_if(entered_,
+                      [&](const auto &entry) { return now - entry.second.at > kindMemory; });
         smoothed_ += smoothing * (latest_.pressure - smoothed_);
         if (!latest_.service.empty() && isReportDue())
             send(now);
@@ -83,11 +88,11 @@
     void send(TimePoint now)
     {
         PressureReport own{latest_.service, smoothed_, {}};
-        for (const auto &[service, at] : calledAt_)
-            own.calledServices.insert(service);
+        for (const auto &[kind, entry] : entered_)
+            own.enteredKinds.emplace(kind, entry.service);
         std::string bytes;
         json::to_cbor(json::array({kernel_.settings().nodeId, own.service, own.pressure,
-                                   json(own.calledServices)}),
+                                   json(own.enteredKinds)}),
                       bytes);
         const auto payload = makeBody(std::move(bytes));
         for (const Member &member : *members_) {
@@ -103,33 +108,35 @@
         const json parts = parseCbor(*frame.payload);
         const bool isValid = parts.is_array() && parts.size() == 4 && parts[0].is_string()
                              && parts[1].is_string() && parts[2].is_number()
-                             && parts[3].is_array();
+                             && parts[3].is_object();
         if (!isValid) {
             LOG_EVERY_N(WARNING, 100)
                     << "task=pressure event=malformed peer=" << format(frame.peer);
             return;
         }
         PressureReport report{parts[1].get<std::string>(), parts[2].get<double>(), {}};
-        for (const json &called : parts[3]) {
-            if (called.is_string())
-                report.calledServices.insert(called.get<std::string>());
+        for (const auto &[kind, service] : parts[3].items()) {
+            if (service.is_string())
+                report.enteredKinds.emplace(kind, service.get<std::string>());
         }
         noteReport(table_, parts[0].get<std::string>(), std::move(report), kernel_.clock().now());
     }
 
     void publish(TimePoint now)
     {
-        auto below = std::make_shared<PressureByService>();
+        auto pressures = std::make_shared<PressureByService>();
         for (const auto &[nodeId, entry] : table_.byNode)
-            (*below)[entry.report.service] = 0.0;
-        for (auto &[service, pressure] : *below) {
-            pressure = pressureBelow(table_, service, now);
-            pressures_.Add({{"service", service}}).Set(pressure);
+            (*pressures)[entry.report.service] = {};
+        for (auto &[service, pressure] : *pressures) {
+            pressure = {pressureOf(table_, service, now), pressureBelow(table_, service, now)};
+            pressures_.Add({{"service", service}}).Set(pressure.below);
         }
         auto reached = std::make_shared<ServicesBelow>();
-        for (const auto &[service, pressure] : *below)
+        for (const auto &[service, pressure] : *pressures)
             (*reached)[service] = servicesBelow(table_, service, now);
-        kernel_.bus().post(PressureChanged{std::move(below), std::move(reached)});
+        auto nested = std::make_shared<const KindSet>(nestedKinds(table_, now));
+        kernel_.bus().post(
+                PressureChanged{std::move(pressures), std::move(reached), std::move(nested)});
     }
 
     Kernel &kernel_;
@@ -138,7 +145,7 @@
     TargetPressure latest_;
     double smoothed_ = 0.0;
     int skipped_ = 0;
-    std::map<std::string, TimePoint> calledAt_; ///< By service.
+    std::map<std::string, EnteredKind> entered_; ///< By kind.
     PressureTable table_;
     Timer timer_;
 };
--- a/Services/Node/StoreDirectoryTask.cpp
+++ b/Services/Node/StoreDirectoryTask.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// Between two attempts to write this node's entry, the least and the most.
-constexpr std::int64_t leastPutRetry = 500; // ms
+constexpr std::int64_t leastPutRetry = 500;  // ms
 constexpr std::int64_t mostPutRetry = 1'000; // ms
 
 /// The directory of nodes in the store: one entry a node, its id with its link endpoint, written
--- a/Services/Node/StoreTask.cpp
+++ b/Services/Node/StoreTask.cpp
@@ -146,15 +146,14 @@
 
     void put(const PutInStore &message)
     {
-        client_.send(protocol_->putRequest(message.topic, message.key, message.value),
-                     answerTimeout,
-                     [this, token = message.token](const HttpClient::Outcome &outcome) {
-                         const auto written
-                                 = judge("put", outcome, [&](const HttpResponse &response) {
-                                       return protocol_->readPut(response);
-                                   });
-                         kernel_.bus().post(StorePutEnded{token, written.has_value()});
-                     });
+        client_.send(
+                protocol_->putRequest(message.topic, message.key, message.value), answerTimeout,
+                [this, token = message.token](const HttpClient::Outcome &outcome) {
+                    const auto written = judge("put", outcome, [&](const HttpResponse &response) {
+                        return protocol_->readPut(response);
+                    });
+                    kernel_.bus().post(StorePutEnded{token, written.has_value()});
+                });
     }
 
     /// The value in the response, or the error of the connection or of the store. Counts and logs.
--- a/Services/Node/TargetChooser.cpp
+++ b/Services/Node/TargetChooser.cpp
@@ -62,6 +62,9 @@
 
 bool TargetChooser::shouldShed(const Call &call, TimePoint now)
 {
+    // Turning away a part of a tree wastes the rest of it.
+    if (call.isNested)
+        return false;
     ServiceState &service = services_[call.service];
     const auto candidates = candidatesOf(membersOf(call.service, {}));
     return shouldShedAtEntry(service.shed, service.choice, candidates, call.importance, now);
@@ -73,8 +76,7 @@
     ServiceState &service = services_[call.service];
     if (retryLimits_)
         service.budget.limits = *retryLimits_;
-    // The bound that nodes share counts what callers send, not what targets call.
-    if (tried.empty() && !(retryBound_ && call.isNested))
+    if (tried.empty())
         noteFirstAttempt(service.budget, now);
     const auto members = membersOf(call.service, tried);
     const auto index = plugin_.choose(service.choice, candidatesOf(members),
@@ -111,8 +113,8 @@
 {
     if (tried.size() >= maximumTries)
         return false;
-    const bool mayHaveRun = outcome.result.has_value()
-                            || outcome.result.error().execution != Execution::NotRun;
+    const bool mayHaveRun
+            = outcome.result.has_value() || outcome.result.error().execution != Execution::NotRun;
     if (mayHaveRun && !allowsNestedRepeats(call, now))
         return false;
     ServiceState &service = services_[call.service];
--- a/Services/Node/TargetSide.cpp
+++ b/Services/Node/TargetSide.cpp
@@ -91,11 +91,10 @@
 void TargetSide::takeAnnouncement(const Announcement &announcement)
 {
     const bool isHeld = client_ != nullptr;
-    const auto order
-            = isHeld ? orderOf(announcement_, announcement) : AnnouncementOrder::NewStart;
+    const auto order = isHeld ? orderOf(announcement_, announcement) : AnnouncementOrder::NewStart;
     if (order == AnnouncementOrder::Stale) {
-        LOG_EVERY_N(INFO, 10) << "task=target event=stale-announcement id="
-                              << announcement.targetId << " sequence=" << announcement.sequence;
+        LOG_EVERY_N(INFO, 10) << "task=target event=stale-announcement id=" << announcement.targetId
+                              << " sequence=" << announcement.sequence;
         return;
     }
     announcedAt_ = kernel_.clock().now();
@@ -153,8 +152,7 @@
 void TargetSide::checkLease()
 {
     std::erase_if(retiredClients_, [](const auto &client) { return client->inFlight() == 0; });
-    const bool isSilent
-            = kernel_.clock().now() - announcedAt_ >= kernel_.settings().targetLease;
+    const bool isSilent = kernel_.clock().now() - announcedAt_ >= kernel_.settings().targetLease;
     if (client_ == nullptr || !isSilent)
         return;
     // Work in flight keeps its connections: a target that only stopped announcing may finish it.
@@ -170,9 +168,7 @@
 void TargetSide::beginNested(const HttpRequest &request,
                              const std::shared_ptr<HttpExchange> &exchange)
 {
-    auto call = dialect_.readCall(request,
-                                  {*catalogue_, shares_, kernel_.settings().targetService,
-                                   kernel_.settings().targetCalls.ip},
+    auto call = dialect_.readCall(request, {*catalogue_, shares_, kernel_.settings().targetService},
                                   kernel_.clock().now());
     if (!call.has_value()) {
         exchange->respond(dialect_.responseFor(call.error(), dialect_.requestIdOf(request)));
@@ -199,8 +195,7 @@
     const NestedCall nested = std::move(found->second);
     nested_.erase(found);
     contexts_.giveBack(nested.context, nested.call->allowance, routed.outcome);
-    nested.exchange->respond(
-            dialect_.responseFor(routed.outcome.result, nested.call->requestId));
+    nested.exchange->respond(dialect_.responseFor(routed.outcome.result, nested.call->requestId));
 }
 
 } // namespace chive
--- a/Services/Node/TargetSide.h
+++ b/Services/Node/TargetSide.h
@@ -4,8 +4,8 @@
 #include <LibCore/Clock.h>
 #include <LibHttp/HttpMessage.h>
 #include <LibKernel/EventLoop.h>
-#include <LibNode/Messages.h>
 #include <LibNode/Dialect.h>
+#include <LibNode/Messages.h>
 
 #include <functional>
 #include <map>
--- a/Services/Node/TargetTask.cpp
+++ b/Services/Node/TargetTask.cpp
@@ -1,5 +1,6 @@
 #include <LibHttp/HttpClient.h>
 #include <LibKernel/Kernel.h>
+#include <LibNode/DecisionLines.h>
 #include <LibNode/Dialect.h>
 #include <LibNode/Messages.h>
 #include <LibPolicy/Admission.h>
@@ -156,7 +157,9 @@
         const Call &call = *work.call;
         const TimePoint now = kernel_.clock().now();
         const OfferDecision decision = admission_->offer(
-                admissionState_, {call.importance, call.duration, call.deadline, call.isNested}, token, now);
+                admissionState_,
+                {call.importance, call.duration, call.deadline, call.isNested, call.kind}, token,
+                now);
         for (const DroppedWork &dropped : decision.evicted)
             end(dropped.token, dropped.verdict);
         if (decision.admitted == Admitted::Refuse)
@@ -231,11 +234,12 @@
                 *work.call, {work.context, side_.targetId()}, work.startedAt);
         crashes_.noteStarted(work.call->fingerprint);
         work.client = client;
-        work.request = client->send(request, std::max(left, Milliseconds(1)),
-                                    [this, token](HttpClient::Outcome outcome) {
-                                        handleResponse(token, std::move(outcome));
-                                    },
-                                    dialect_.rulesFor(request));
+        work.request = client->send(
+                request, std::max(left, Milliseconds(1)),
+                [this, token](HttpClient::Outcome outcome) {
+                    handleResponse(token, std::move(outcome));
+                },
+                dialect_.rulesFor(request));
         work.limit = kernel_.loop().after(left, [this, token] { expire(token); });
     }
 
@@ -313,6 +317,7 @@
         const Work work = std::move(found->second);
         work_.erase(found);
         leaveAdmission(token, work, result);
+        noteDecision(*work.call, result, work.startedAt);
         if (work.isGranted)
             kernel_.bus().post(GrantedCallEnded{token, result});
         ContextEnd context{work.call->allowance, false};
@@ -322,6 +327,25 @@
         startWork();
     }
 
+    void noteDecision(const Call &call, const Judged<Answer> &result, TimePoint startedAt)
+    {
+        const LineWeight weight = weightOf(result);
+        if (!kernel_.decisions().takes(weight))
+            return;
+        const TimePoint now = kernel_.clock().now();
+        const bool hasStarted = startedAt != TimePoint{};
+        const TargetLoad load = loadOf(admissionState_, now);
+        kernel_.decisions().add(
+                weight, decisionLine(call, result,
+                                     {"run", hasStarted ? now - startedAt : Milliseconds(0),
+                                      catalogue_->version, pressureOf(load), side_.targetId()}));
+    }
+
+    static double pressureOf(const TargetLoad &load)
+    {
+        return static_cast<double>(load.inFlight + load.queued) / std::max(load.limit, 1U);
+    }
+
     void leaveAdmission(Token token, const Work &work, const Judged<Answer> &result)
     {
         if (work.stage != Stage::Running || !result.has_value()) {
@@ -332,7 +356,10 @@
         WorkEnd end;
         end.latency = std::chrono::duration_cast<Microseconds>(now - work.startedAt);
         constexpr int serviceUnavailable = 503;
+        constexpr int firstServerError = 500;
         end.wasOverloaded = result.value().status == serviceUnavailable;
+        end.hasFailed = result.value().status >= firstServerError;
+        end.kind = work.call->kind;
         finished(admissionState_, token, end, now);
     }
 
@@ -363,9 +390,8 @@
     {
         const TargetLoad load = loadOf(admissionState_, kernel_.clock().now());
         const bool isUsable = side_.isPresent() && !side_.isDraining() && !isStopping_;
-        kernel_.bus().post(TargetPressure{
-                isUsable ? side_.service() : std::string(),
-                static_cast<double>(load.inFlight + load.queued) / std::max(load.limit, 1U)});
+        kernel_.bus().post(
+                TargetPressure{isUsable ? side_.service() : std::string(), pressureOf(load)});
     }
 
     [[nodiscard]] nlohmann::json report() const
--- a/Tests/LibHttp/TestHttp.cpp
+++ b/Tests/LibHttp/TestHttp.cpp
@@ -216,9 +216,10 @@
 TEST_CASE("A closed connection takes no bytes from whoever gets its descriptor next")
 {
     EventLoop loop;
-    auto server = HttpServer::listen(
-            loop, endpoint, bodyLimit,
-            [](const HttpRequest &, const auto &exchange) { exchange->respond({200, {}, nullptr}); });
+    auto server = HttpServer::listen(loop, endpoint, bodyLimit,
+                                     [](const HttpRequest &, const auto &exchange) {
+                                         exchange->respond({200, {}, nullptr});
+                                     });
     REQUIRE(server.has_value());
     server.value()->closeAfterResponses();
     for (int round = 0; round < 5; ++round) {
--- a/Tests/LibLink/TestWebSocketSession.cpp
+++ b/Tests/LibLink/TestWebSocketSession.cpp
@@ -22,11 +22,13 @@
     std::string toClient;
     std::vector<std::string> atServer;
     std::vector<std::string> atClient;
-    WebSocketSession server{WebSocketRole::Server, maximumMessageSize,
+    WebSocketSession server{WebSocketRole::Server,
+                            maximumMessageSize,
                             {[this](std::string_view bytes) { toClient += bytes; }, [] {},
                              [this](std::string_view text) { atServer.emplace_back(text); },
                              [] {}}};
-    WebSocketSession client{WebSocketRole::Client, maximumMessageSize,
+    WebSocketSession client{WebSocketRole::Client,
+                            maximumMessageSize,
                             {[this](std::string_view bytes) { toServer += bytes; }, [] {},
                              [this](std::string_view text) { atClient.emplace_back(text); },
                              [] {}}};
