--- a/Libraries/LibKernel/DecisionLog.cpp
+++ b/Libraries/LibKernel/DecisionLog.cpp
@@ -18,14 +18,15 @@
 
 } // namespace
 
-DecisionLog::DecisionLog(EventLoop &loop, const Clock &clock)
+DecisionLog::DecisionLog(EventLoop &loop, const Clock &clock, int descriptor)
     : clock_(clock)
+    , descriptor_(descriptor)
     , successes_{successesPerSecond, successesPerSecond, clock.now()}
     , failures_{failuresPerSecond, failuresPerSecond, clock.now()}
 {
-    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    const int flags = fcntl(descriptor_, F_GETFL);
     if (flags != -1)
-        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+        fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
     flushTimer_ = loop.every(flushInterval, [this] { flush(); });
 }
 
@@ -64,7 +65,7 @@
         pending_ += "event=lines-dropped count=" + std::to_string(dropped_) + "\n";
         dropped_ = 0;
     }
-    const ssize_t written = write(STDOUT_FILENO, pending_.data(), pending_.size());
+    const ssize_t written = write(descriptor_, pending_.data(), pending_.size());
     if (written > 0)
         pending_.erase(0, static_cast<std::size_t>(written));
 }
--- a/Libraries/LibKernel/DecisionLog.h
+++ b/Libraries/LibKernel/DecisionLog.h
@@ -22,7 +22,8 @@
 class DecisionLog
 {
 public:
-    DecisionLog(EventLoop &loop, const Clock &clock);
+    /// Writes to the descriptor, which is switched to non-blocking and not closed.
+    DecisionLog(EventLoop &loop, const Clock &clock, int descriptor);
 
     /// Adds one line, `key=value` pairs without the line's end.
     void add(LineWeight weight, std::string_view line);
@@ -30,6 +31,9 @@
     /// Whether a line of this weight would be taken now, so that it need not be composed.
     [[nodiscard]] bool takes(LineWeight weight);
 
+    /// Bytes that wait to be written.
+    [[nodiscard]] std::size_t pendingBytes() const { return pending_.size(); }
+
 private:
     /// Lines a second of one weight, with a second's worth of savings.
     struct Rate
@@ -43,6 +47,7 @@
     void refill(Rate &rate) const;
 
     const Clock &clock_;
+    int descriptor_;
     std::string pending_;
     std::uint64_t dropped_ = 0;
     Rate successes_;
--- a/Libraries/LibKernel/Kernel.h
+++ b/Libraries/LibKernel/Kernel.h
@@ -75,7 +75,7 @@
     const Clock &clock_;
     EventLoop loop_;
     Bus bus_{loop_};
-    DecisionLog decisions_{loop_, clock_};
+    DecisionLog decisions_{loop_, clock_, 1}; // Standard output.
     std::shared_ptr<prometheus::Registry> metrics_;
     std::map<std::string, std::function<nlohmann::json()>> status_;
     std::vector<std::function<std::size_t()>> inFlight_;
--- /dev/null
+++ b/Tests/Platform/TestConfiguration.cpp
@@ -0,0 +1,70 @@
+#include <platform/Configuration.h>
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace chive;
+
+namespace {
+
+const std::string record
+        = R"({"version":7,"services":[{"name":"s1","healthPath":"/health","maxConns":
+1606},{"name":"s2","healthPath":"/health","maxConns":580}],"limits":{"idleTimeoutS":15},
+"virtualHosts":[{"host":"a.example","routePaths":[
+{"name":"r1","pathPrefix":"/x/","kind":"safe","timeoutS":6,"targetLatencyS":1.5,"priority":2,
+"trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"maxAttempts":2},
+{"name":"r2","pathPrefix":"/x/y/","kind":"upload","timeoutS":0.8,"targetLatencyS":0.4,"priority":9,
+"service":"s2","maxAttempts":1}]}]})";
+
+std::string with(std::string_view from, std::string_view to)
+{
+    std::string changed = record;
+    changed.replace(changed.find(from), from.size(), to);
+    return changed;
+}
+
+} // namespace
+
+TEST_CASE("The operator's record becomes a catalogue")
+{
+    const auto catalogue = platform::readConfiguration(record);
+    REQUIRE(catalogue.has_value());
+    CHECK(catalogue.value().version == 7);
+    CHECK(catalogue.value().idleTimeout == Milliseconds(15'000));
+
+    SUBCASE("the longest prefix of the host decides")
+    {
+        const RouteTable &routes = catalogue.value().routes;
+        const Route *longer = findRoute(routes, "a.example", "/x/y/1");
+        REQUIRE(longer != nullptr);
+        CHECK(longer->name == "r2");
+        CHECK(longer->kind.deadline == Milliseconds(800));
+        CHECK(longer->kind.repetition == Repetition::Guarded);
+        CHECK(longer->kind.duration == Duration::Long);
+        CHECK(longer->kind.importance == Importance::Low);
+        CHECK(longer->kind.retries == 0);
+        const Route *shorter = findRoute(routes, "a.example", "/x/1");
+        REQUIRE(shorter != nullptr);
+        CHECK(shorter->kind.repetition == Repetition::Idempotent);
+        CHECK(shorter->latencyObjective == Milliseconds(1'500));
+        CHECK(shorter->shares.size() == 2);
+        CHECK(findRoute(routes, "a.example", "/y/") == nullptr);
+        CHECK(findRoute(routes, "b.example", "/x/1") == nullptr);
+    }
+}
+
+TEST_CASE("A record that is wrong names the field")
+{
+    const auto errorOf = [](const std::string &text) {
+        const auto catalogue = platform::readConfiguration(text);
+        REQUIRE_FALSE(catalogue.has_value());
+        return catalogue.error().message;
+    };
+    CHECK(errorOf(record.substr(0, 100)).starts_with("body:"));
+    CHECK(errorOf(with("\"version\":7", "\"version\":\"7\"")).starts_with("version:"));
+    CHECK(errorOf(with("\"timeoutS\":6", "\"timeoutS\":-1")).starts_with("timeoutS:"));
+    CHECK(errorOf(with("\"priority\":2", "\"priority\":null")).starts_with("priority:"));
+    CHECK(errorOf(with("\"maxAttempts\":2", "\"maxAttempts\":0")).starts_with("maxAttempts:"));
+    CHECK(errorOf(with("\"host\":\"a.example\"", "\"host\":\"\"")).starts_with("host:"));
+}
