Node: Send no waiting call to a target that has begun to drain

Cause: a call that waited when its target said that it leaves was still sent once a slot was free, up to its deadline later. No test of its own yet (left).

Tests: Hold the retry bound that nodes share, for any split of the load

--- a/Services/Node/TargetTask.cpp
+++ b/Services/Node/TargetTask.cpp
@@ -226,6 +226,10 @@
             end(token, notRun(Reason::NoTarget, "the target is gone"));
             return;
         }
+        if (side_.isDraining()) {
+            end(token, notRun(Reason::Leaving, "the target began to drain while the call waited"));
+            return;
+        }
         work.stage = Stage::Running;
         work.startedAt = kernel_.clock().now();
         work.context = contexts_.open(work.call);
--- /dev/null
+++ b/Tests/LibPolicy/TestSharedRetryBound.cpp
@@ -0,0 +1,82 @@
+#include <LibPolicy/Retry.h>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <numeric>
+#include <random>
+#include <span>
+#include <vector>
+
+using namespace chive;
+
+namespace {
+
+constexpr double ratio = 0.2;
+constexpr double constant = 50.0;
+constexpr Milliseconds window{10'000};
+constexpr Milliseconds step{100};
+constexpr std::size_t stepsInWindow = window / step;
+constexpr std::size_t steps = 4 * stepsInWindow;
+
+/// What all nodes together did in each step.
+struct History
+{
+    std::vector<int> requests = std::vector<int>(steps);
+    std::vector<int> retries = std::vector<int>(steps);
+};
+
+/// Every node spends all that it may as soon as it may, under a load that swings at random.
+History spendGreedily(std::size_t nodes, unsigned seed)
+{
+    std::mt19937 random(seed);
+    std::vector<RetryBudget> budgets(nodes);
+    for (RetryBudget &budget : budgets)
+        budget.limits = sharedLimits(ratio, constant, window, nodes);
+    History history;
+    TimePoint now{std::chrono::hours(1)};
+    unsigned load = 10;
+    for (std::size_t i = 0; i < steps; ++i, now += step) {
+        if (i % 20 == 0)
+            load = random() % 30;
+        for (RetryBudget &budget : budgets) {
+            const int requests = static_cast<int>(random() % (load + 1));
+            for (int request = 0; request < requests; ++request)
+                noteFirstAttempt(budget, now);
+            history.requests[i] += requests;
+            while (hasTokens(budget, 1.0, now)) {
+                takeTokens(budget, 1.0);
+                ++history.retries[i];
+            }
+        }
+    }
+    return history;
+}
+
+int sumOf(const std::vector<int> &counts, std::size_t from)
+{
+    const auto part = std::span(counts).subspan(from, stepsInWindow);
+    return std::accumulate(part.begin(), part.end(), 0);
+}
+
+} // namespace
+
+TEST_CASE("Nodes that spend all they may stay within the bound that they share")
+{
+    for (const std::size_t nodes : {1, 3, 10, 17, 90}) {
+        for (unsigned seed = 1; seed <= 5; ++seed) {
+            CAPTURE(nodes);
+            CAPTURE(seed);
+            const History history = spendGreedily(nodes, seed);
+            int mostRetries = 0;
+            for (std::size_t from = stepsInWindow; from + stepsInWindow <= steps; ++from) {
+                const int requests = std::max(sumOf(history.requests, from),
+                                              sumOf(history.requests, from - stepsInWindow));
+                const int retries = sumOf(history.retries, from);
+                REQUIRE(retries <= ratio * requests + constant);
+                mostRetries = std::max(mostRetries, retries);
+            }
+            CHECK(mostRetries > 0);
+        }
+    }
+}
