--- a/Libraries/LibPolicy/Admission.h
+++ b/Libraries/LibPolicy/Admission.h
@@ -28,7 +28,7 @@
     Duration duration = Duration::Short;
     TimePoint deadline;
     bool isNested = false; ///< Part of a tree that has begun; goes before new work.
-    std::string kind;      ///< Kinds differ in how long they run.
+    std::string kind = {}; ///< Kinds differ in how long they run.
 };
 
 struct AdmissionSettings
