Node, LibPolicy: Work out the pressure of the mesh once, and keep one copy of what stood twice

Read again as a newcomer; behaviour is meant to stay. - The pressure of a service, what lies below it and which kinds are nested came from three functions that each folded all reports anew, for each service and ten times a second. summarize() folds them once; EntryTask, RouterTask and TargetChooser hold that one result. - One copy each: the JSON readers that name a field (platform and Announcement, now LibCore), the search in a list of header names (three places), the test for a server error (three), the lookup of the store protocol (two), the choice of tasks by log or store (eight), the line of a decision (two), the budgets below a call (two). - What ties a response to its request is two values of a dialect and no longer a function in each. - Removed: a message that nobody received, a field that nobody read, a parameter that nobody used. Tests keep their assertions; those of the pressure ask summarize() and check one value more.

--- a/platform/Json.cpp
+++ b/Libraries/LibCore/JsonRead.cpp
@@ -1,8 +1,8 @@
-#include <platform/Json.h>
+#include <LibCore/JsonRead.h>
 
 #include <cmath>
 
-namespace chive::platform {
+namespace chive {
 
 namespace {
 
@@ -81,4 +81,4 @@
     return Milliseconds(std::llround(seconds * 1000.0));
 }
 
-} // namespace chive::platform
+} // namespace chive
--- a/platform/Json.h
+++ b/Libraries/LibCore/JsonRead.h
@@ -9,8 +9,8 @@
 #include <string>
 #include <string_view>
 
-/// Typed access to the platform's JSON. Every error names the field and what was expected.
-namespace chive::platform {
+/// Typed access to JSON from outside. Every error names the field and what was expected.
+namespace chive {
 
 [[nodiscard]] Error invalidField(std::string_view field, std::string_view expectation);
 
@@ -24,8 +24,8 @@
                                                std::string_view field);
 [[nodiscard]] Result<double> numberField(const nlohmann::json &object, std::string_view field);
 
-/// A time that the platform gives in seconds, with fractions.
+/// A time that is given in seconds, with fractions.
 [[nodiscard]] Result<Milliseconds> secondsField(const nlohmann::json &object,
                                                 std::string_view field);
 
-} // namespace chive::platform
+} // namespace chive
--- a/Libraries/LibHttp/ForwardedHeaders.cpp
+++ b/Libraries/LibHttp/ForwardedHeaders.cpp
@@ -1,6 +1,5 @@
 #include <LibHttp/ForwardedHeaders.h>
 
-#include <algorithm>
 #include <array>
 #include <string_view>
 
@@ -44,10 +43,7 @@
     std::vector<Header> kept;
     kept.reserve(all.size() + 4);
     for (const Header &header : all) {
-        const bool isHeldBack = std::ranges::any_of(heldBackHeaders, [&](std::string_view name) {
-            return isSameHeaderName(header.first, name);
-        });
-        if (!isHeldBack && !lists(ofConnection, header.first))
+        if (!isOneOfHeaders(heldBackHeaders, header.first) && !lists(ofConnection, header.first))
             kept.push_back(header);
     }
     return kept;
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -40,8 +40,7 @@
 {
     static constexpr std::array<std::string_view, 4> framing{"Connection", "Content-Length",
                                                              "Transfer-Encoding", "Keep-Alive"};
-    return std::ranges::any_of(
-            framing, [&](std::string_view header) { return isSameHeaderName(name, header); });
+    return isOneOfHeaders(framing, name);
 }
 
 bool usuallyHasBody(std::string_view method)
--- a/Libraries/LibHttp/HttpMessage.cpp
+++ b/Libraries/LibHttp/HttpMessage.cpp
@@ -2,6 +2,8 @@
 
 #include <strings.h>
 
+#include <algorithm>
+
 namespace chive {
 
 bool isSameHeaderName(std::string_view left, std::string_view right)
@@ -9,6 +11,18 @@
     return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
 }
 
+bool isOneOfHeaders(std::span<const std::string_view> names, std::string_view name)
+{
+    return std::ranges::any_of(
+            names, [&](std::string_view candidate) { return isSameHeaderName(candidate, name); });
+}
+
+bool isServerError(int status)
+{
+    constexpr int leastServerError = 500;
+    return status >= leastServerError;
+}
+
 std::string_view findHeader(std::span<const Header> headers, std::string_view name)
 {
     for (const auto &[candidate, value] : headers) {
--- a/Libraries/LibHttp/HttpMessage.h
+++ b/Libraries/LibHttp/HttpMessage.h
@@ -33,6 +33,12 @@
 /// Whether two header names are the same, RFC 9110 section 5.1.
 [[nodiscard]] bool isSameHeaderName(std::string_view left, std::string_view right);
 
+/// Whether the name is one of those, compared without case.
+[[nodiscard]] bool isOneOfHeaders(std::span<const std::string_view> names, std::string_view name);
+
+/// Whether the status says that the server failed, RFC 9110 section 15.6.
+[[nodiscard]] bool isServerError(int status);
+
 /// The body's bytes; empty for a null pointer.
 [[nodiscard]] std::string_view bytesOf(const std::shared_ptr<const std::string> &body);
 
--- a/Libraries/LibLog/StoreProtocol.h
+++ b/Libraries/LibLog/StoreProtocol.h
@@ -5,6 +5,7 @@
 #include <LibCore/Result.h>
 #include <LibHttp/HttpMessage.h>
 #include <LibKernel/Registry.h>
+#include <LibSettings/Settings.h>
 
 #include <cstdint>
 #include <optional>
@@ -43,7 +44,6 @@
 struct StoreChanges
 {
     std::vector<StoreEntry> entries;
-    std::uint64_t end = 0;
     bool isTruncated = false; ///< Some of the records are gone; read the newest values instead.
 };
 
@@ -69,4 +69,7 @@
     std::string_view configurationKey;
 };
 
+/// The protocol of the dialect that the settings name. Ends the process when there is none.
+[[nodiscard]] const StoreProtocol &storeProtocolOf(const Settings &settings);
+
 } // namespace chive
--- a/Libraries/LibNode/DecisionLines.cpp
+++ b/Libraries/LibNode/DecisionLines.cpp
@@ -5,12 +5,6 @@
 
 namespace chive {
 
-namespace {
-
-constexpr int firstServerError = 500; ///< RFC 9110 section 15.6.
-
-} // namespace
-
 std::string decisionLine(const Call &call, const Judged<Answer> &result,
                          const DecisionInputs &inputs)
 {
@@ -35,9 +29,17 @@
     return line.append(" detail=\"").append(verdict.detail).append("\"");
 }
 
+void logDecision(DecisionLog &log, const Call &call, const Judged<Answer> &result,
+                 const DecisionInputs &inputs)
+{
+    const LineWeight weight = weightOf(result);
+    if (log.takes(weight))
+        log.add(weight, decisionLine(call, result, inputs));
+}
+
 LineWeight weightOf(const Judged<Answer> &result)
 {
-    const bool isGood = result.has_value() && result.value().status < firstServerError;
+    const bool isGood = result.has_value() && !isServerError(result.value().status);
     return isGood ? LineWeight::Success : LineWeight::Failure;
 }
 
--- a/Libraries/LibNode/DecisionLines.h
+++ b/Libraries/LibNode/DecisionLines.h
@@ -23,6 +23,10 @@
 [[nodiscard]] std::string decisionLine(const Call &call, const Judged<Answer> &result,
                                        const DecisionInputs &inputs);
 
+/// Adds the line to the log if the log takes one of its weight.
+void logDecision(DecisionLog &log, const Call &call, const Judged<Answer> &result,
+                 const DecisionInputs &inputs);
+
 /// Server errors and verdicts weigh more than answers.
 [[nodiscard]] LineWeight weightOf(const Judged<Answer> &result);
 
--- a/Libraries/LibNode/Dialect.h
+++ b/Libraries/LibNode/Dialect.h
@@ -46,11 +46,11 @@
     HttpRequest (*requestForTarget)(const Call &call, const TargetIdentity &target, TimePoint now)
             = nullptr;
 
-    /// What a response must be to count as the answer to that request.
-    ResponseRules (*rulesFor)(const HttpRequest &request) = nullptr;
+    std::string_view echoedHeader; ///< Of that request; the target repeats it in its response.
+    BodyEnd bodyEnd = BodyEnd::Framed;
 
     /// The answer in a target's response, or the verdict that it carries.
-    Judged<Answer> (*readAnswer)(const Call &call, HttpResponse response) = nullptr;
+    Judged<Answer> (*readAnswer)(HttpResponse response) = nullptr;
 
     /// The response that tells a caller the outcome.
     HttpResponse (*responseFor)(const Judged<Answer> &result, std::string_view requestId) = nullptr;
@@ -60,6 +60,9 @@
     Result<Announcement> (*readAnnouncement)(const HttpRequest &request) = nullptr;
 };
 
+/// What a response must be to count as the answer to that request to a target.
+[[nodiscard]] ResponseRules rulesFor(const Dialect &dialect, const HttpRequest &request);
+
 /// The dialect that the settings name. Ends the process when there is none of that name.
 [[nodiscard]] const Dialect &dialectOf(const Settings &settings);
 
--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -4,13 +4,12 @@
 #include <LibLog/LogPage.h>
 #include <LibLog/StoreProtocol.h>
 #include <LibNode/Call.h>
+#include <LibNode/MeshPressure.h>
 #include <LibSettings/Settings.h>
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -208,12 +207,6 @@
     bool isWritten = false; ///< False: not written, or not known to be.
 };
 
-/// From the store task, when the store became reachable or unreachable for this node.
-struct StoreStateChanged
-{
-    bool isReachable = false;
-};
-
 // ---- Load --------------------------------------------------------------------------------------
 
 /// From the target task, several times a second: how full the target beside this node is.
@@ -223,26 +216,10 @@
     double pressure = 0.0; ///< PressureReport::pressure.
 };
 
-/// How full a service is, and the fullest among it and all that its calls lead to.
-struct ServicePressure
-{
-    double own = 0.0;
-    double below = 0.0;
-};
-
-using PressureByService = std::map<std::string, ServicePressure, std::less<>>;
-
-/// All services that the calls of each service lead to, itself not among them.
-using ServicesBelow = std::map<std::string, std::set<std::string>, std::less<>>;
-
-using KindSet = std::set<std::string, std::less<>>;
-
 /// From the pressure task, several times a second.
 struct PressureChanged
 {
-    std::shared_ptr<const PressureByService> pressures;
-    std::shared_ptr<const ServicesBelow> servicesBelow;
-    std::shared_ptr<const KindSet> nestedKinds; ///< That only targets send, as far as is known.
+    std::shared_ptr<const MeshPressure> mesh;
 };
 
 // ---- Status reports ----------------------------------------------------------------------------
--- a/Libraries/LibPolicy/ServicePressure.cpp
+++ b/Libraries/LibPolicy/ServicePressure.cpp
@@ -28,23 +28,30 @@
     return now - entry.receivedAt <= reportLifetime;
 }
 
-/// Beside targets of which services each kind has entered.
-std::map<std::string_view, std::set<std::string_view>> entriesByKind(const PressureTable &table,
-                                                                     TimePoint now)
+/// The kinds that enter beside a part of the services only.
+std::set<std::string, std::less<>> nestedKindsIn(const PressureTable &table, TimePoint now)
 {
-    std::map<std::string_view, std::set<std::string_view>> entries;
+    std::set<std::string_view> services;
+    std::map<std::string_view, std::set<std::string_view>> entries; // Services, by kind.
     for (const auto &[nodeId, entry] : table.byNode) {
         if (!isRecent(entry, now))
             continue;
-        for (const auto &[kind, service] : entry.report.enteredKinds)
+        for (const auto &[kind, service] : entry.report.enteredKinds) {
+            services.insert(entry.report.service);
             entries[kind].insert(entry.report.service);
+        }
+    }
+    std::set<std::string, std::less<>> nested;
+    for (const auto &[kind, entered] : entries) {
+        if (entered.size() < services.size())
+            nested.emplace(kind);
     }
-    return entries;
+    return nested;
 }
 
-std::map<std::string_view, ServiceState> collect(const PressureTable &table, TimePoint now)
+std::map<std::string_view, ServiceState>
+collect(const PressureTable &table, const std::set<std::string, std::less<>> &nested, TimePoint now)
 {
-    const auto nested = nestedKinds(table, now);
     std::map<std::string_view, ServiceState> services;
     for (const auto &[nodeId, entry] : table.byNode) {
         if (!isRecent(entry, now))
@@ -87,47 +94,23 @@
                                   PressureTable::Entry{std::move(report), now});
 }
 
-double pressureOf(const PressureTable &table, std::string_view service, TimePoint now)
-{
-    const auto services = collect(table, now);
-    const auto found = services.find(service);
-    return found == services.end() ? 0.0 : found->second.mean();
-}
-
-double pressureBelow(const PressureTable &table, std::string_view service, TimePoint now)
-{
-    const auto services = collect(table, now);
-    double highest = 0.0;
-    for (const std::string_view reached : reachedFrom(services, service)) {
-        const auto found = services.find(reached);
-        if (found != services.end())
-            highest = std::max(highest, found->second.mean());
-    }
-    return highest;
-}
-
-std::set<std::string, std::less<>> nestedKinds(const PressureTable &table, TimePoint now)
+MeshPressure summarize(const PressureTable &table, TimePoint now)
 {
-    std::set<std::string_view> services;
-    for (const auto &[nodeId, entry] : table.byNode) {
-        if (isRecent(entry, now) && !entry.report.enteredKinds.empty())
-            services.insert(entry.report.service);
-    }
-    std::set<std::string, std::less<>> nested;
-    for (const auto &[kind, entered] : entriesByKind(table, now)) {
-        if (entered.size() < services.size())
-            nested.emplace(kind);
+    MeshPressure mesh;
+    mesh.nestedKinds = nestedKindsIn(table, now);
+    const auto services = collect(table, mesh.nestedKinds, now);
+    for (const auto &[name, state] : services) {
+        ServicePressure &pressure = mesh.services[std::string(name)];
+        pressure.own = state.mean();
+        for (const std::string_view reached : reachedFrom(services, name)) {
+            const auto found = services.find(reached);
+            if (found != services.end())
+                pressure.below = std::max(pressure.below, found->second.mean());
+            if (reached != name)
+                pressure.servicesBelow.emplace(reached);
+        }
     }
-    return nested;
-}
-
-std::set<std::string> servicesBelow(const PressureTable &table, std::string_view service,
-                                    TimePoint now)
-{
-    const auto reached = reachedFrom(collect(table, now), service);
-    std::set<std::string> below(reached.begin(), reached.end());
-    below.erase(std::string(service));
-    return below;
+    return mesh;
 }
 
 void forgetOldReports(PressureTable &table, TimePoint now)
--- a/Libraries/LibPolicy/ServicePressure.h
+++ b/Libraries/LibPolicy/ServicePressure.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <LibCore/Clock.h>
+#include <LibNode/MeshPressure.h>
 
 #include <map>
-#include <set>
 #include <string>
 #include <string_view>
 
@@ -36,24 +36,10 @@
 void noteReport(PressureTable &table, std::string_view nodeId, PressureReport report,
                 TimePoint now);
 
-/// The mean pressure of the targets of one service; 0 while nothing recent is known.
-[[nodiscard]] double pressureOf(const PressureTable &table, std::string_view service,
-                                TimePoint now);
-
-/// The highest mean pressure among the service and all that its calls lead to; 0 while nothing
-/// recent is known. Old reports are ignored.
-[[nodiscard]] double pressureBelow(const PressureTable &table, std::string_view service,
-                                   TimePoint now);
-
-/// The kinds that only targets send. Callers sit on all VMs, so what they send enters beside
-/// targets of every service; what a target sends enters only beside targets of its own service. A
-/// kind that enters beside a part of the services only is taken for nested.
-[[nodiscard]] std::set<std::string, std::less<>> nestedKinds(const PressureTable &table,
-                                                             TimePoint now);
-
-/// All services that the calls of this one lead to, itself not among them.
-[[nodiscard]] std::set<std::string> servicesBelow(const PressureTable &table,
-                                                  std::string_view service, TimePoint now);
+/// What the recent reports say of each service. Kinds are taken for nested by where they enter:
+/// callers sit on all VMs, so what they send enters beside targets of every service; what a target
+/// sends enters only beside targets of its own service.
+[[nodiscard]] MeshPressure summarize(const PressureTable &table, TimePoint now);
 
 /// Drops the reports that are too old to matter.
 void forgetOldReports(PressureTable &table, TimePoint now);
--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -23,4 +23,14 @@
     return Endpoint{std::string(text.substr(0, colon)), port};
 }
 
+bool usesLog(const Settings &settings)
+{
+    return settings.backing == Settings::Backing::Log;
+}
+
+bool usesStore(const Settings &settings)
+{
+    return settings.backing == Settings::Backing::Store;
+}
+
 } // namespace chive
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -76,6 +76,10 @@
     std::string admissionPolicy = "adaptive"; ///< Plug-in that admits work at a target.
 };
 
+/// Whether the node works with a log, or with a store.
+[[nodiscard]] bool usesLog(const Settings &settings);
+[[nodiscard]] bool usesStore(const Settings &settings);
+
 /// Parses and checks the text of a settings file. Every mistake is reported, one line each, as
 /// `name:line: what was expected`.
 [[nodiscard]] Result<Settings> parseSettings(std::string_view text, std::string_view fileName);
--- a/Services/Node/CallContexts.cpp
+++ b/Services/Node/CallContexts.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr int leastServerError = 500; ///< RFC 9110, section 15.6.
-
 Verdict spentVerdict(const char *detail)
 {
     Verdict verdict = notRun(Reason::AllowanceSpent, detail);
@@ -79,9 +77,9 @@
     if (found == contexts_.end())
         return;
     chive::giveBack(found->second.left, lent, outcome.unspent);
-    const bool isServerError
-            = outcome.result.has_value() && outcome.result.value().status >= leastServerError;
-    if (!outcome.result.has_value() || isServerError || outcome.failedBelow)
+    const bool hasFailed
+            = !outcome.result.has_value() || isServerError(outcome.result.value().status);
+    if (hasFailed || outcome.failedBelow)
         found->second.failedBelow = true;
 }
 
--- a/Services/Node/ConfigurationTask.cpp
+++ b/Services/Node/ConfigurationTask.cpp
@@ -29,7 +29,7 @@
 public:
     explicit ConfigurationTask(Kernel &kernel)
         : kernel_(kernel)
-        , protocol_(Registry<StoreProtocol>::find(kernel.settings().dialect))
+        , protocol_(storeProtocolOf(kernel.settings()))
         , members_(std::make_shared<const std::vector<Member>>())
         , versionGauge_(prometheus::BuildGauge()
                                 .Name("chiverouter_configuration_version")
@@ -37,9 +37,6 @@
                                 .Register(kernel.metrics())
                                 .Add({}))
     {
-        if (protocol_ == nullptr)
-            LOG(FATAL) << "task=configuration error=\"no store protocol '"
-                       << kernel.settings().dialect << "'\"";
         Bus &bus = kernel.bus();
         bus.subscribe<StoreRead>([this](const StoreRead &read) { handleRead(read); });
         bus.subscribe<MembersChanged>(
@@ -65,14 +62,14 @@
         if (read.topic != StoreTopic::Configuration)
             return;
         for (const StoreEntry &entry : read.entries) {
-            if (entry.key == protocol_->configurationKey && !entry.value.empty())
+            if (entry.key == protocol_.configurationKey && !entry.value.empty())
                 takeRecord(entry.value, "store");
         }
     }
 
     void takeRecord(const std::string &record, std::string_view source)
     {
-        auto catalogue = protocol_->readConfiguration(record);
+        auto catalogue = protocol_.readConfiguration(record);
         if (!catalogue.has_value()) {
             LOG(WARNING) << "task=configuration event=record-ignored source=" << source
                          << " error=\"" << catalogue.error().message << '"';
@@ -128,7 +125,7 @@
     }
 
     Kernel &kernel_;
-    const StoreProtocol *protocol_ = nullptr;
+    const StoreProtocol &protocol_;
     std::shared_ptr<const std::vector<Member>> members_;
     prometheus::Gauge &versionGauge_;
     std::uint64_t version_ = 0;
@@ -143,7 +140,7 @@
         [](Kernel &kernel) -> std::unique_ptr<Task> {
             return std::make_unique<ConfigurationTask>(kernel);
         },
-        [](const Settings &settings) { return settings.backing == Settings::Backing::Store; },
+        usesStore,
 }};
 
 } // namespace
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -34,10 +34,8 @@
     {
         kernel.bus().subscribe<CatalogueChanged>(
                 [this](const CatalogueChanged &changed) { catalogue_ = changed.catalogue; });
-        kernel.bus().subscribe<PressureChanged>([this](const PressureChanged &changed) {
-            pressures_ = changed.pressures;
-            nestedKinds_ = changed.nestedKinds;
-        });
+        kernel.bus().subscribe<PressureChanged>(
+                [this](const PressureChanged &changed) { mesh_ = changed.mesh; });
         kernel.bus().subscribe<CallRouted>([this](const CallRouted &routed) { finish(routed); });
         kernel.bus().subscribe<StopRequested>([this](const StopRequested &) { stop(); });
         kernel.addInFlight([this] { return open_.size() + (server_ ? server_->receiving() : 0); });
@@ -73,7 +71,7 @@
             refuse(*exchange, call.error(), request);
             return;
         }
-        call.value().isNested = nestedKinds_->contains(call.value().kind);
+        call.value().isNested = mesh_->nestedKinds.contains(call.value().kind);
         if (const auto refusal = reasonToShed(call.value())) {
             noteDecision(call.value(), *refusal, std::chrono::nanoseconds(0));
             refuse(*exchange, *refusal, request);
@@ -95,10 +93,9 @@
     /// Refuses a caller's request when a service that it leads to is full.
     std::optional<Verdict> reasonToShed(const Call &call)
     {
-        const auto found = pressures_->find(call.service);
-        if (call.isNested || found == pressures_->end())
+        if (call.isNested)
             return std::nullopt;
-        const double pressure = pressureFor(call.importance, found->second);
+        const double pressure = pressureFor(call);
         std::uniform_real_distribution<double> draw(0.0, 1.0);
         if (draw(random_) >= shedShare(pressure, call.importance))
             return std::nullopt;
@@ -109,27 +106,19 @@
 
     /// Some kinds of a service call others and some do not, which the reports cannot tell apart.
     /// What is important is refused for its own service only; refusing the rest makes room below.
-    static double pressureFor(Importance importance, const ServicePressure &pressure)
+    [[nodiscard]] double pressureFor(const Call &call) const
     {
-        return importance <= Importance::High ? pressure.own : pressure.below;
+        const auto found = mesh_->services.find(call.service);
+        if (found == mesh_->services.end())
+            return 0.0;
+        return call.importance <= Importance::High ? found->second.own : found->second.below;
     }
 
     void noteDecision(const Call &call, const Judged<Answer> &result,
                       std::chrono::nanoseconds latency)
     {
-        const LineWeight weight = weightOf(result);
-        if (!kernel_.decisions().takes(weight))
-            return;
-        const auto pressure = pressures_->find(call.service);
-        kernel_.decisions().add(
-                weight, decisionLine(call, result,
-                                     {"request",
-                                      latency,
-                                      catalogue_->version,
-                                      pressure == pressures_->end()
-                                              ? 0.0
-                                              : pressureFor(call.importance, pressure->second),
-                                      {}}));
+        logDecision(kernel_.decisions(), call, result,
+                    {"request", latency, catalogue_->version, pressureFor(call), {}});
     }
 
     static Verdict memoryVerdict()
@@ -179,9 +168,7 @@
     CallMetrics metrics_;
     const Dialect &dialect_;
     ShareCounters shares_;
-    std::shared_ptr<const PressureByService> pressures_
-            = std::make_shared<const PressureByService>();
-    std::shared_ptr<const KindSet> nestedKinds_ = std::make_shared<const KindSet>();
+    std::shared_ptr<const MeshPressure> mesh_ = std::make_shared<const MeshPressure>();
     std::minstd_rand random_{std::random_device{}()};
     Timer acceptance_;
     std::shared_ptr<const Catalogue> catalogue_;
--- a/Services/Node/LogDirectoryTask.cpp
+++ b/Services/Node/LogDirectoryTask.cpp
@@ -97,7 +97,7 @@
         [](Kernel &kernel) -> std::unique_ptr<Task> {
             return std::make_unique<LogDirectoryTask>(kernel);
         },
-        [](const Settings &settings) { return settings.backing == Settings::Backing::Log; },
+        usesLog,
 }};
 
 } // namespace
--- a/Services/Node/LogTask.cpp
+++ b/Services/Node/LogTask.cpp
@@ -175,7 +175,7 @@
 const Registration<TaskPlugin> registration{TaskPlugin{
         "log",
         [](Kernel &kernel) -> std::unique_ptr<Task> { return std::make_unique<LogTask>(kernel); },
-        [](const Settings &settings) { return settings.backing == Settings::Backing::Log; },
+        usesLog,
 }};
 
 } // namespace
--- a/Services/Node/NativeDialect.cpp
+++ b/Services/Node/NativeDialect.cpp
@@ -22,13 +22,7 @@
     return requestForTarget(call, target.callToken, now);
 }
 
-ResponseRules rulesFor(const HttpRequest &request)
-{
-    return {{headers::call, std::string(findHeader(request.headers, headers::call))},
-            BodyEnd::Framed};
-}
-
-Judged<Answer> readAnswer(const Call &, HttpResponse response)
+Judged<Answer> readAnswer(HttpResponse response)
 {
     return Answer{response.status, std::move(response.headers), response.body};
 }
@@ -48,7 +42,8 @@
         readNativeCall,
         requestIdOf,
         nativeRequestForTarget,
-        rulesFor,
+        headers::call,
+        BodyEnd::Framed,
         readAnswer,
         responseFor,
         isAnnouncement,
--- a/Services/Node/NotesTask.cpp
+++ b/Services/Node/NotesTask.cpp
@@ -287,7 +287,7 @@
 const Registration<TaskPlugin> registration{TaskPlugin{
         "notes",
         [](Kernel &kernel) -> std::unique_ptr<Task> { return std::make_unique<NotesTask>(kernel); },
-        [](const Settings &settings) { return settings.backing == Settings::Backing::Log; },
+        usesLog,
 }};
 
 } // namespace
--- a/Services/Node/OnceTask.cpp
+++ b/Services/Node/OnceTask.cpp
@@ -143,7 +143,7 @@
 const Registration<TaskPlugin> registration{TaskPlugin{
         "once",
         [](Kernel &kernel) -> std::unique_ptr<Task> { return std::make_unique<OnceTask>(kernel); },
-        [](const Settings &settings) { return settings.backing == Settings::Backing::Log; },
+        usesLog,
 }};
 
 } // namespace
--- a/Services/Node/PressureTask.cpp
+++ b/Services/Node/PressureTask.cpp
@@ -124,19 +124,10 @@
 
     void publish(TimePoint now)
     {
-        auto pressures = std::make_shared<PressureByService>();
-        for (const auto &[nodeId, entry] : table_.byNode)
-            (*pressures)[entry.report.service] = {};
-        for (auto &[service, pressure] : *pressures) {
-            pressure = {pressureOf(table_, service, now), pressureBelow(table_, service, now)};
+        auto mesh = std::make_shared<const MeshPressure>(summarize(table_, now));
+        for (const auto &[service, pressure] : mesh->services)
             pressures_.Add({{"service", service}}).Set(pressure.below);
-        }
-        auto reached = std::make_shared<ServicesBelow>();
-        for (const auto &[service, pressure] : *pressures)
-            (*reached)[service] = servicesBelow(table_, service, now);
-        auto nested = std::make_shared<const KindSet>(nestedKinds(table_, now));
-        kernel_.bus().post(
-                PressureChanged{std::move(pressures), std::move(reached), std::move(nested)});
+        kernel_.bus().post(PressureChanged{std::move(mesh)});
     }
 
     Kernel &kernel_;
@@ -155,7 +146,7 @@
         [](Kernel &kernel) -> std::unique_ptr<Task> {
             return std::make_unique<PressureTask>(kernel);
         },
-        [](const Settings &settings) { return settings.backing == Settings::Backing::Store; },
+        usesStore,
 }};
 
 } // namespace
--- a/Services/Node/RouterTask.cpp
+++ b/Services/Node/RouterTask.cpp
@@ -80,9 +80,8 @@
         bus.subscribe<PeerLost>([this](const PeerLost &lost) { handleLost(lost); });
         bus.subscribe<MembersChanged>(
                 [this](const MembersChanged &changed) { chooser_.setMembers(*changed.members); });
-        bus.subscribe<PressureChanged>([this](const PressureChanged &changed) {
-            chooser_.setServicesBelow(changed.servicesBelow);
-        });
+        bus.subscribe<PressureChanged>(
+                [this](const PressureChanged &changed) { chooser_.setMeshPressure(changed.mesh); });
         kernel.addInFlight([this] { return routed_.size(); });
         kernel.addStatus("router", [this] {
             return nlohmann::json{{"calls", routed_.size()},
--- a/Services/Node/StoreDirectoryTask.cpp
+++ b/Services/Node/StoreDirectoryTask.cpp
@@ -92,7 +92,7 @@
         [](Kernel &kernel) -> std::unique_ptr<Task> {
             return std::make_unique<StoreDirectoryTask>(kernel);
         },
-        [](const Settings &settings) { return settings.backing == Settings::Backing::Store; },
+        usesStore,
 }};
 
 } // namespace
--- a/Services/Node/StoreTask.cpp
+++ b/Services/Node/StoreTask.cpp
@@ -36,7 +36,7 @@
 public:
     explicit StoreTask(Kernel &kernel)
         : kernel_(kernel)
-        , protocol_(Registry<StoreProtocol>::find(kernel.settings().dialect))
+        , protocol_(storeProtocolOf(kernel.settings()))
         , client_(kernel.loop(), kernel.settings().store, maximumResponseSize)
         , calls_(prometheus::BuildCounter()
                          .Name("chiverouter_store_calls_total")
@@ -48,9 +48,6 @@
                                     .Register(kernel.metrics())
                                     .Add({}))
     {
-        if (protocol_ == nullptr)
-            LOG(FATAL) << "task=store error=\"no store protocol '" << kernel.settings().dialect
-                       << "'\"";
         client_.trustServer();
         client_.detectSilentConnections();
         Bus &bus = kernel.bus();
@@ -81,7 +78,7 @@
 
     void loadNewest(StoreTopic topic, const std::string &afterKey)
     {
-        client_.send(protocol_->newestRequest(topic, afterKey), answerTimeout,
+        client_.send(protocol_.newestRequest(topic, afterKey), answerTimeout,
                      [this, topic, afterKey](const HttpClient::Outcome &outcome) {
                          takeNewest(topic, afterKey, outcome);
                      });
@@ -92,7 +89,7 @@
     {
         Followed &followed = followed_.at(topic);
         auto page = judge("newest", outcome, [&](const HttpResponse &response) {
-            return protocol_->readNewest(response);
+            return protocol_.readNewest(response);
         });
         if (!page.has_value()) {
             followed.pages.clear();
@@ -116,7 +113,7 @@
     void awaitChanges(StoreTopic topic)
     {
         const std::uint64_t from = followed_.at(topic).next;
-        client_.send(protocol_->changesRequest(topic, from, longestWait),
+        client_.send(protocol_.changesRequest(topic, from, longestWait),
                      longestWait + answerTimeout,
                      [this, topic, from](const HttpClient::Outcome &outcome) {
                          takeChanges(topic, from, outcome);
@@ -127,7 +124,7 @@
     {
         Followed &followed = followed_.at(topic);
         auto changes = judge("changes", outcome, [&](const HttpResponse &response) {
-            return protocol_->readChanges(response, from);
+            return protocol_.readChanges(response, from);
         });
         if (!changes.has_value()) {
             // Reading the newest values instead also covers offsets that the store no longer knows.
@@ -146,14 +143,14 @@
 
     void put(const PutInStore &message)
     {
-        client_.send(
-                protocol_->putRequest(message.topic, message.key, message.value), answerTimeout,
-                [this, token = message.token](const HttpClient::Outcome &outcome) {
-                    const auto written = judge("put", outcome, [&](const HttpResponse &response) {
-                        return protocol_->readPut(response);
-                    });
-                    kernel_.bus().post(StorePutEnded{token, written.has_value()});
-                });
+        client_.send(protocol_.putRequest(message.topic, message.key, message.value), answerTimeout,
+                     [this, token = message.token](const HttpClient::Outcome &outcome) {
+                         const auto written
+                                 = judge("put", outcome, [&](const HttpResponse &response) {
+                                       return protocol_.readPut(response);
+                                   });
+                         kernel_.bus().post(StorePutEnded{token, written.has_value()});
+                     });
     }
 
     /// The value in the response, or the error of the connection or of the store. Counts and logs.
@@ -181,7 +178,6 @@
             LOG(INFO) << "task=store event=reachable";
         else
             LOG(WARNING) << "task=store event=unreachable error=\"" << cause << '"';
-        kernel_.bus().post(StoreStateChanged{isReachable});
     }
 
     void retryLater(StoreTopic topic, std::function<void()> retry)
@@ -194,7 +190,7 @@
     }
 
     Kernel &kernel_;
-    const StoreProtocol *protocol_ = nullptr;
+    const StoreProtocol &protocol_;
     HttpClient client_;
     prometheus::Family<prometheus::Counter> &calls_;
     prometheus::Gauge &isReachableGauge_;
@@ -206,7 +202,7 @@
 const Registration<TaskPlugin> registration{TaskPlugin{
         "store",
         [](Kernel &kernel) -> std::unique_ptr<Task> { return std::make_unique<StoreTask>(kernel); },
-        [](const Settings &settings) { return settings.backing == Settings::Backing::Store; },
+        usesStore,
 }};
 
 } // namespace
--- a/Services/Node/TargetChooser.cpp
+++ b/Services/Node/TargetChooser.cpp
@@ -115,7 +115,10 @@
         return false;
     const bool mayHaveRun
             = outcome.result.has_value() || outcome.result.error().execution != Execution::NotRun;
-    if (mayHaveRun && !allowsNestedRepeats(call, now))
+    const auto nested = mayHaveRun ? budgetsBelow(call) : std::vector<RetryBudget *>();
+    const bool allowsNestedRepeats = std::ranges::all_of(
+            nested, [&](RetryBudget *budget) { return hasTokens(*budget, nestedRepeats, now); });
+    if (!allowsNestedRepeats)
         return false;
     ServiceState &service = services_[call.service];
     auto others = membersOf(call.service, tried);
@@ -139,28 +142,20 @@
     end.expectedLatency = shortest.value_or(Microseconds(0));
     if (!chive::takeRetry(call, end, left, service.budget, now))
         return false;
-    if (mayHaveRun)
-        takeNestedRepeats(call);
+    for (RetryBudget *budget : nested)
+        takeTokens(*budget, nestedRepeats);
     return true;
 }
 
-bool TargetChooser::allowsNestedRepeats(const Call &call, TimePoint now)
+std::vector<RetryBudget *> TargetChooser::budgetsBelow(const Call &call)
 {
-    const auto below = below_->find(call.service);
-    if (!retryBound_ || below == below_->end())
-        return true;
-    return std::ranges::all_of(below->second, [&](const std::string &service) {
-        return hasTokens(services_[service].budget, nestedRepeats, now);
-    });
-}
-
-void TargetChooser::takeNestedRepeats(const Call &call)
-{
-    const auto below = below_->find(call.service);
-    if (!retryBound_ || below == below_->end())
-        return;
-    for (const std::string &service : below->second)
-        takeTokens(services_[service].budget, nestedRepeats);
+    std::vector<RetryBudget *> budgets;
+    const auto found = mesh_->services.find(call.service);
+    if (!retryBound_ || found == mesh_->services.end())
+        return budgets;
+    for (const std::string &service : found->second.servicesBelow)
+        budgets.push_back(&services_[service].budget);
+    return budgets;
 }
 
 std::map<std::string, double> TargetChooser::retryBudgets() const
--- a/Services/Node/TargetChooser.h
+++ b/Services/Node/TargetChooser.h
@@ -24,8 +24,8 @@
 
     void setMembers(const std::vector<Member> &members);
 
-    /// Which services the calls of each service lead to; a repeated run repeats its calls.
-    void setServicesBelow(std::shared_ptr<const ServicesBelow> below) { below_ = std::move(below); }
+    /// Tells which services the calls of each service lead to; a repeated run repeats its calls.
+    void setMeshPressure(std::shared_ptr<const MeshPressure> mesh) { mesh_ = std::move(mesh); }
 
     /// Whether to refuse the call here because every target would. Counts the call as offered.
     [[nodiscard]] bool shouldShed(const Call &call, TimePoint now);
@@ -67,9 +67,9 @@
         RetryBudget budget;
     };
 
-    /// Whether the services that the call leads to may see the calls of a repeated run.
-    [[nodiscard]] bool allowsNestedRepeats(const Call &call, TimePoint now);
-    void takeNestedRepeats(const Call &call);
+    /// The budgets that a repeated run of the call draws on besides that of its own service. None
+    /// where nodes share no bound.
+    [[nodiscard]] std::vector<RetryBudget *> budgetsBelow(const Call &call);
 
     [[nodiscard]] std::vector<const Member *> membersOf(const std::string &service,
                                                         const std::set<std::string> &tried) const;
@@ -80,7 +80,7 @@
     std::string dataCentre_;
     std::optional<Settings::RetryBound> retryBound_;
     std::optional<RetryBudgetLimits> retryLimits_; ///< From the bound and the count of members.
-    std::shared_ptr<const ServicesBelow> below_ = std::make_shared<const ServicesBelow>();
+    std::shared_ptr<const MeshPressure> mesh_ = std::make_shared<const MeshPressure>();
     std::vector<Member> members_;
     std::map<std::string, ServiceState, std::less<>> services_;
 };
--- a/Services/Node/TargetTask.cpp
+++ b/Services/Node/TargetTask.cpp
@@ -243,7 +243,7 @@
                 [this, token](HttpClient::Outcome outcome) {
                     handleResponse(token, std::move(outcome));
                 },
-                dialect_.rulesFor(request));
+                rulesFor(dialect_, request));
         work.limit = kernel_.loop().after(left, [this, token] { expire(token); });
     }
 
@@ -257,7 +257,7 @@
         const Work &work = found->second;
         crashes_.noteEnded(work.call->fingerprint);
         if (outcome.has_value()) {
-            end(token, dialect_.readAnswer(*work.call, std::move(outcome.value())));
+            end(token, dialect_.readAnswer(std::move(outcome.value())));
             return;
         }
         const HttpFailure &failure = outcome.error();
@@ -333,16 +333,12 @@
 
     void noteDecision(const Call &call, const Judged<Answer> &result, TimePoint startedAt)
     {
-        const LineWeight weight = weightOf(result);
-        if (!kernel_.decisions().takes(weight))
-            return;
         const TimePoint now = kernel_.clock().now();
         const bool hasStarted = startedAt != TimePoint{};
         const TargetLoad load = loadOf(admissionState_, now);
-        kernel_.decisions().add(
-                weight, decisionLine(call, result,
-                                     {"run", hasStarted ? now - startedAt : Milliseconds(0),
-                                      catalogue_->version, pressureOf(load), side_.targetId()}));
+        logDecision(kernel_.decisions(), call, result,
+                    {"run", hasStarted ? now - startedAt : Milliseconds(0), catalogue_->version,
+                     pressureOf(load), side_.targetId()});
     }
 
     static double pressureOf(const TargetLoad &load)
@@ -360,9 +356,8 @@
         WorkEnd end;
         end.latency = std::chrono::duration_cast<Microseconds>(now - work.startedAt);
         constexpr int serviceUnavailable = 503;
-        constexpr int firstServerError = 500;
         end.wasOverloaded = result.value().status == serviceUnavailable;
-        end.hasFailed = result.value().status >= firstServerError;
+        end.hasFailed = isServerError(result.value().status);
         end.kind = work.call->kind;
         finished(admissionState_, token, end, now);
     }
--- a/Tests/LibPolicy/TestServicePressure.cpp
+++ b/Tests/LibPolicy/TestServicePressure.cpp
@@ -34,21 +34,26 @@
 {
     const TimePoint now{std::chrono::hours(1)};
     const PressureTable table = sampleMesh(now, 0.9);
+    const MeshPressure mesh = summarize(table, now);
 
     SUBCASE("kinds that enter beside some services only are the targets' own")
     {
-        CHECK(nestedKinds(table, now) == std::set<std::string, std::less<>>{"order", "stock"});
+        CHECK(mesh.nestedKinds == std::set<std::string, std::less<>>{"order", "stock"});
     }
     SUBCASE("the fullest service counts, as the mean of its targets")
     {
-        CHECK(pressureBelow(table, "catalogue", now) == doctest::Approx(0.9));
-        CHECK(servicesBelow(table, "catalogue", now) == std::set<std::string>{"orders", "proofs"});
-        CHECK(servicesBelow(table, "proofs", now).empty());
+        CHECK(mesh.services.at("catalogue").below == doctest::Approx(0.9));
+        CHECK(mesh.services.at("catalogue").own == doctest::Approx(0.3));
+        CHECK(mesh.services.at("catalogue").servicesBelow
+              == std::set<std::string>{"orders", "proofs"});
+        CHECK(mesh.services.at("proofs").servicesBelow.empty());
     }
     SUBCASE("what is old counts for nothing")
     {
-        CHECK(pressureBelow(table, "catalogue", now + std::chrono::seconds(2)) == 0.0);
-        CHECK(pressureBelow(table, "unknown", now) == 0.0);
+        const MeshPressure later = summarize(table, now + std::chrono::seconds(2));
+        CHECK(later.services.empty());
+        CHECK(later.nestedKinds.empty());
+        CHECK_FALSE(mesh.services.contains("unknown"));
     }
 }
 
--- a/Tests/Platform/TestRequests.cpp
+++ b/Tests/Platform/TestRequests.cpp
@@ -94,7 +94,7 @@
 TEST_CASE("A refusal that promises not to have run is kept apart from all others")
 {
     const auto answerOf = [](int status, std::vector<Header> headers) {
-        return dialect().readAnswer(Call(), {status, std::move(headers), nullptr});
+        return dialect().readAnswer({status, std::move(headers), nullptr});
     };
     const Header signature{"X-Chiverouter-Response-Stamp", "s"};
 
