--- a/Libraries/LibNode/CallCodec.cpp
+++ b/Libraries/LibNode/CallCodec.cpp
@@ -62,12 +62,27 @@
     // An excessive container size throws even where exceptions are switched off.
     return guarded<Parts>([&]() -> Result<Parts> {
         json head = json::from_cbor(headBytes.begin(), headBytes.end());
-        if (!head.is_object())
-            return malformed("head is no CBOR map");
+        if (!head.is_array())
+            return malformed("head is no CBOR array");
         return Parts{std::move(head), frame.substr(size)};
     });
 }
 
+/// Reads the elements of an array in order; throws out_of_range after the last.
+class Fields
+{
+public:
+    explicit Fields(const json &list)
+        : list_(list)
+    {}
+
+    const json &next() { return list_.at(position_++); }
+
+private:
+    const json &list_;
+    std::size_t position_ = 0;
+};
+
 json encodeHeaders(const std::vector<Header> &headers)
 {
     json list = json::array();
@@ -108,26 +123,23 @@
 
 json encodeVerdict(const Verdict &verdict)
 {
-    json value = {
-            {"execution", verdict.execution}, {"reason", verdict.reason},
-            {"below", verdict.retriedBelow},  {"reached", verdict.hasReachedTarget},
-            {"detail", verdict.detail},
-    };
-    if (verdict.retryAfter)
-        value["after"] = verdict.retryAfter->count();
-    return value;
+    const json after = verdict.retryAfter ? json(verdict.retryAfter->count()) : json();
+    return json::array({verdict.execution, verdict.reason, verdict.retriedBelow,
+                        verdict.hasReachedTarget, verdict.detail, after});
 }
 
 Verdict decodeVerdict(const json &value)
 {
+    Fields fields(value);
     Verdict verdict;
-    verdict.execution = decodeEnum(value.at("execution"), Execution::HasRun);
-    verdict.reason = decodeEnum(value.at("reason"), Reason::NotReady);
-    verdict.retriedBelow = value.at("below").get<bool>();
-    verdict.hasReachedTarget = value.at("reached").get<bool>();
-    verdict.detail = value.at("detail").get<std::string>();
-    if (value.contains("after"))
-        verdict.retryAfter = Milliseconds(value.at("after").get<std::int64_t>());
+    verdict.execution = decodeEnum(fields.next(), Execution::HasRun);
+    verdict.reason = decodeEnum(fields.next(), Reason::NotReady);
+    verdict.retriedBelow = fields.next().get<bool>();
+    verdict.hasReachedTarget = fields.next().get<bool>();
+    verdict.detail = fields.next().get<std::string>();
+    const json &after = fields.next();
+    if (!after.is_null())
+        verdict.retryAfter = Milliseconds(after.get<std::int64_t>());
     return verdict;
 }
 
@@ -152,24 +164,25 @@
 std::string encodeCall(Token token, const Call &call, TimePoint now)
 {
     const auto left = std::chrono::duration_cast<Milliseconds>(call.deadline - now);
-    const json head = {
-            {"token", token},
-            {"request", call.requestId},
-            {"service", call.service},
-            {"kind", call.kind},
-            {"method", call.method},
-            {"path", call.path},
-            {"headers", encodeHeaders(call.headers)},
-            {"key", call.key},
-            {"fingerprint", call.fingerprint},
-            {"importance", call.importance},
-            {"repetition", call.repetition},
-            {"duration", call.duration},
-            {"left", left.count()},
-            {"objective", call.objective.count()},
-            {"nested", call.isNested},
-            {"allowance", encodeAllowance(call.allowance)},
-    };
+    const json head = json::array({
+            token,
+            call.requestId,
+            call.service,
+            call.kind,
+            call.rootKind,
+            call.method,
+            call.path,
+            encodeHeaders(call.headers),
+            call.key,
+            call.fingerprint,
+            call.importance,
+            call.repetition,
+            call.duration,
+            left.count(),
+            call.objective.count(),
+            call.isNested,
+            encodeAllowance(call.allowance),
+    });
     return joinFrame(head, bytesOf(call.body));
 }
 
@@ -179,25 +192,27 @@
     return guarded<PeerCall>([&]() -> Result<PeerCall> {
         const json &head = parts.head;
         PeerCall peer;
-        peer.token = head.at("token").get<Token>();
+        Fields fields(head);
+        peer.token = fields.next().get<Token>();
         Call &call = peer.call;
-        call.requestId = head.at("request").get<std::string>();
-        call.service = head.at("service").get<std::string>();
-        call.kind = head.at("kind").get<std::string>();
-        call.method = head.at("method").get<std::string>();
-        call.path = head.at("path").get<std::string>();
-        call.headers = decodeHeaders(head.at("headers"));
-        call.key = head.at("key").get<std::string>();
-        call.fingerprint = head.at("fingerprint").get<std::string>();
-        call.importance = decodeEnum(head.at("importance"), Importance::Low);
-        call.repetition = decodeEnum(head.at("repetition"), Repetition::AtMostOnce);
-        call.duration = decodeEnum(head.at("duration"), Duration::Long);
-        const auto left = head.at("left").get<std::int64_t>();
+        call.requestId = fields.next().get<std::string>();
+        call.service = fields.next().get<std::string>();
+        call.kind = fields.next().get<std::string>();
+        call.rootKind = fields.next().get<std::string>();
+        call.method = fields.next().get<std::string>();
+        call.path = fields.next().get<std::string>();
+        call.headers = decodeHeaders(fields.next());
+        call.key = fields.next().get<std::string>();
+        call.fingerprint = fields.next().get<std::string>();
+        call.importance = decodeEnum(fields.next(), Importance::Low);
+        call.repetition = decodeEnum(fields.next(), Repetition::AtMostOnce);
+        call.duration = decodeEnum(fields.next(), Duration::Long);
+        const auto left = fields.next().get<std::int64_t>();
         call.deadline = now + std::clamp(Milliseconds(left), Milliseconds(0), longestDeadline);
-        call.isNested = head.at("nested").get<bool>();
-        call.objective = std::clamp(Milliseconds(head.at("objective").get<std::int64_t>()),
+        call.objective = std::clamp(Milliseconds(fields.next().get<std::int64_t>()),
                                     Milliseconds(0), longestDeadline);
-        call.allowance = decodeAllowance(head.at("allowance"));
+        call.isNested = fields.next().get<bool>();
+        call.allowance = decodeAllowance(fields.next());
         call.body = ownBody(parts.body);
         return peer;
     });
@@ -205,20 +220,17 @@
 
 std::string encodeOutcome(Token token, const CallOutcome &outcome)
 {
-    json head = {
-            {"token", token},
-            {"unspent", encodeAllowance(outcome.unspent)},
-            {"load", encodeLoad(outcome.load)},
-            {"below", outcome.failedBelow},
-    };
+    json head = json::array({token, encodeAllowance(outcome.unspent), encodeLoad(outcome.load),
+                             outcome.failedBelow});
     if (!outcome.result.has_value()) {
-        head["verdict"] = encodeVerdict(outcome.result.error());
+        head.push_back(encodeVerdict(outcome.result.error()));
         return joinFrame(head, {});
     }
+    // An answer is told from a verdict by the number of elements.
     const Answer &answer = outcome.result.value();
-    head["status"] = answer.status;
-    head["headers"] = encodeHeaders(answer.headers);
-    head["length"] = bytesOf(answer.body).size();
+    head.push_back(answer.status);
+    head.push_back(encodeHeaders(answer.headers));
+    head.push_back(bytesOf(answer.body).size());
     return joinFrame(head, bytesOf(answer.body));
 }
 
@@ -226,21 +238,22 @@
 {
     CHIVE_TRY(parts, splitFrame(frame));
     return guarded<PeerOutcome>([&]() -> Result<PeerOutcome> {
-        const json &head = parts.head;
+        constexpr std::size_t sizeWithVerdict = 5;
+        Fields fields(parts.head);
         PeerOutcome peer;
-        peer.token = head.at("token").get<Token>();
-        peer.outcome.unspent = decodeAllowance(head.at("unspent"));
-        peer.outcome.load = decodeLoad(head.at("load"));
-        peer.outcome.failedBelow = head.at("below").get<bool>();
-        if (head.contains("verdict")) {
-            peer.outcome.result = decodeVerdict(head.at("verdict"));
+        peer.token = fields.next().get<Token>();
+        peer.outcome.unspent = decodeAllowance(fields.next());
+        peer.outcome.load = decodeLoad(fields.next());
+        peer.outcome.failedBelow = fields.next().get<bool>();
+        if (parts.head.size() == sizeWithVerdict) {
+            peer.outcome.result = decodeVerdict(fields.next());
             return peer;
         }
-        if (head.at("length").get<std::size_t>() != parts.body.size())
-            return malformed("body length differs");
         Answer answer;
-        answer.status = head.at("status").get<int>();
-        answer.headers = decodeHeaders(head.at("headers"));
+        answer.status = fields.next().get<int>();
+        answer.headers = decodeHeaders(fields.next());
+        if (fields.next().get<std::size_t>() != parts.body.size())
+            return malformed("body length differs");
         answer.body = ownBody(parts.body);
         peer.outcome.result = std::move(answer);
         return peer;
@@ -249,13 +262,13 @@
 
 std::string encodeCancel(Token token)
 {
-    return joinFrame({{"token", token}}, {});
+    return joinFrame(json::array({token}), {});
 }
 
 Result<Token> decodeCancel(std::string_view frame)
 {
     CHIVE_TRY(parts, splitFrame(frame));
-    return guarded<Token>([&]() -> Result<Token> { return parts.head.at("token").get<Token>(); });
+    return guarded<Token>([&]() -> Result<Token> { return parts.head.at(0).get<Token>(); });
 }
 
 } // namespace chive
--- a/Libraries/LibNode/DecisionLines.h
+++ b/Libraries/LibNode/DecisionLines.h
@@ -4,6 +4,7 @@
 #include <LibNode/Call.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -18,6 +19,9 @@
     std::uint64_t configuration = 0; ///< Version in force; 0 where it decided nothing.
     double pressure = 0.0;           ///< Below the service at the entry, of the target beside it.
     std::string_view target;         ///< The start of the target that ran it, where there was one.
+    std::optional<TargetLoad> load;  ///< Of the target beside the node, for "run".
+    Milliseconds left{0};            ///< To the deadline, when the line is written.
+    std::optional<double> share;     ///< Of its kind that is taken on, for "request".
 };
 
 [[nodiscard]] std::string decisionLine(const Call &call, const Judged<Answer> &result,
--- a/Libraries/LibNode/Dialect.h
+++ b/Libraries/LibNode/Dialect.h
@@ -42,6 +42,10 @@
     /// The request's id, for a refusal of what could not be read. May be empty.
     std::string (*requestIdOf)(const HttpRequest &request) = nullptr;
 
+    /// The id of the call that the target made a request for, as far as the request's id shows it;
+    /// empty where it does not. Only the order of work may depend on it.
+    std::string_view (*parentOf)(std::string_view requestId) = nullptr;
+
     /// The request as the target gets it.
     HttpRequest (*requestForTarget)(const Call &call, const TargetIdentity &target, TimePoint now)
             = nullptr;
--- a/Libraries/LibNode/MeshPressure.h
+++ b/Libraries/LibNode/MeshPressure.h
@@ -19,6 +19,8 @@
 {
     std::map<std::string, ServicePressure, std::less<>> services;
     std::set<std::string, std::less<>> nestedKinds; ///< That only targets send.
+    /// The share of callers' requests of each kind to take on, where it is below 1.
+    std::map<std::string, double, std::less<>> rootShares;
 };
 
 } // namespace chive
--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -8,6 +8,7 @@
 #include <LibSettings/Settings.h>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -212,8 +213,41 @@
 /// From the target task, several times a second: how full the target beside this node is.
 struct TargetPressure
 {
-    std::string service;   ///< Empty while there is no target.
-    double pressure = 0.0; ///< PressureReport::pressure.
+    std::string service;                ///< Empty while there is no target.
+    double pressure = 0.0;              ///< PressureReport::pressure.
+    double slots = 0.0;                 ///< That may run at once.
+    double waitSeconds = 0.0;           ///< That work waits for a slot.
+    std::map<std::string, double> work; ///< Slot seconds since the last message, by Call::rootKind.
+};
+
+/// From the entry task, for each request of a caller: whether it was taken on.
+struct RootDecided
+{
+    std::string kind;
+    std::string service;
+    Importance importance = Importance::Normal;
+    Milliseconds objective{0};
+    bool isAdmitted = true;
+};
+
+/// From the entry task: a request of a caller that was taken on ended.
+struct RootEnded
+{
+    std::string kind;
+    std::chrono::nanoseconds latency{0};
+    bool wasServed = false; ///< Otherwise the latency tells nothing of its work.
+};
+
+/// From the target task: the target runs this call now, so it may make nested calls.
+struct RunStarted
+{
+    std::shared_ptr<const Call> call;
+};
+
+/// From the target task: a call that was in RunStarted ended.
+struct RunEnded
+{
+    std::string requestId;
 };
 
 /// From the pressure task, several times a second.
--- a/Libraries/LibPolicy/AdaptiveAdmission.cpp
+++ b/Libraries/LibPolicy/AdaptiveAdmission.cpp
@@ -14,6 +14,9 @@
 /// Queue lengths of short work by importance, in rounds of the slots. Important work may wait
 /// longer, so that it is not lost to a burst of its own kind.
 constexpr std::array<std::size_t, importanceLevels> queueRounds{6, 4, 3, 2};
+/// Turning away a part of a tree wastes the rest of it, so nested work waits as long as its
+/// deadline allows; the bound is for memory.
+constexpr std::size_t nestedQueueRounds = 20;
 /// A round of long work takes much of its deadline; what waits for a second one ends too late.
 constexpr std::size_t longQueueRounds = 1;
 constexpr Milliseconds admittedHold{100}; ///< How long a lowered level is reported.
@@ -60,11 +63,12 @@
     return std::chrono::nanoseconds(static_cast<std::int64_t>(milliseconds * 1e6));
 }
 
-/// The time that work of this kind takes on the target; 0 before the first has ended.
-std::chrono::nanoseconds serviceTime(const AdmissionState &state, const WorkAttributes &attributes)
+/// The time in which work of this kind may well end on the target; 0 before the first has ended.
+/// Work of one kind differs much: calls that important requests need overtake the others below.
+std::chrono::nanoseconds leastServiceTime(const AdmissionState &state,
+                                          const WorkAttributes &attributes)
 {
-    const auto known = state.latencyByKind.find({attributes.duration, attributes.kind});
-    return fromMilliseconds(known == state.latencyByKind.end() ? 0.0 : known->second);
+    return fromMilliseconds(latencyOf(state, attributes).fast.value);
 }
 
 /// Whether no work of this duration runs. An idle target is tried whatever the estimate says,
@@ -89,11 +93,13 @@
 }
 
 /// How much work of this importance and more may wait.
-std::size_t queueCapacity(const AdmissionState &state, Duration duration, Importance importance)
+std::size_t queueCapacity(const AdmissionState &state, const WorkAttributes &attributes)
 {
-    if (duration == Duration::Long)
+    if (isLong(attributes))
         return longQueueRounds * std::max<std::size_t>(smallestQueue, longSlots(state));
-    const std::size_t rounds = queueRounds[static_cast<std::size_t>(importance)];
+    const std::size_t rounds
+            = attributes.isNested ? nestedQueueRounds
+                                  : queueRounds[static_cast<std::size_t>(attributes.importance)];
     return rounds * std::max<std::size_t>(smallestQueue, currentLimit(state.limit));
 }
 
@@ -116,8 +122,8 @@
 Verdict overloaded(const AdmissionState &state, const WorkAttributes &attributes)
 {
     Verdict verdict = notRun(Reason::Overloaded, "the target is at its limit");
-    const auto estimate
-            = std::chrono::duration_cast<Milliseconds>(10 * serviceTime(state, attributes));
+    const auto estimate = std::chrono::duration_cast<Milliseconds>(
+            10 * fromMilliseconds(latencyOf(state, attributes).mean));
     verdict.retryAfter = std::clamp(estimate, shortestRetryAfter, longestRetryAfter);
     return verdict;
 }
@@ -166,26 +172,25 @@
 
     const QueuedWork work{token, attributes, state.arrivals++};
     const Duration duration = attributes.duration;
-    if (!isIdle(state, duration) && now + serviceTime(state, attributes) > attributes.deadline)
+    if (!isIdle(state, duration) && now + leastServiceTime(state, attributes) > attributes.deadline)
         return {Admitted::Refuse, notRun(Reason::DeadlineExceeded, "it would end too late"), {}};
     if (hasFreeSlot(state, duration) && queuedOf(state, duration) == 0) {
         markRunning(state, token, duration);
         return {};
     }
 
-    noteBinding(state.limit);
-    const auto end = now + waitingTime(state, work) + serviceTime(state, attributes);
+    const auto end = now + waitingTime(state, work) + leastServiceTime(state, attributes);
     if (end > attributes.deadline)
         return refuse(state, attributes, now);
 
-    if (queuedAtLeast(state, attributes) >= queueCapacity(state, duration, attributes.importance))
+    if (queuedAtLeast(state, attributes) >= queueCapacity(state, attributes))
         return refuse(state, attributes, now);
     OfferDecision decision{Admitted::Queue, {}, {}};
     const auto last = lastOf(state, duration);
     const bool isLastLessImportant
             = last != state.queue.end() && last->attributes.importance > attributes.importance;
     if (isLastLessImportant
-        && queuedOf(state, duration) >= queueCapacity(state, duration, Importance::Low)) {
+        && queuedOf(state, duration) >= queueCapacity(state, {Importance::Low, duration, {}})) {
         lowerAdmitted(state, last->attributes, now);
         decision.evicted.push_back({last->token, overloaded(state, last->attributes)});
         state.queue.erase(last);
@@ -199,7 +204,7 @@
     std::erase_if(state.queue, [&](const QueuedWork &work) {
         const Duration duration = work.attributes.duration;
         const auto needed = isIdle(state, duration) ? std::chrono::nanoseconds(0)
-                                                    : serviceTime(state, work.attributes);
+                                                    : leastServiceTime(state, work.attributes);
         if (now + needed < work.attributes.deadline)
             return false;
         lowerAdmitted(state, work.attributes, now);
--- a/Libraries/LibPolicy/Admission.cpp
+++ b/Libraries/LibPolicy/Admission.cpp
@@ -51,9 +51,12 @@
     const bool isShort = *duration == Duration::Short;
     if (!end.wasOverloaded && !end.hasFailed) {
         smooth(isShort ? state.shortLatency : state.longLatency, end.latency);
-        smooth(state.latencyByKind[{*duration, end.kind}], end.latency);
+        KindLatency &ofKind = state.latencyByKind[{*duration, end.importance, end.kind}];
+        smooth(ofKind.mean, end.latency);
+        addSample(ofKind.fast, std::chrono::duration<double, std::milli>(end.latency).count());
     }
-    addSample(state.limit, {end.latency, isShort, end.wasOverloaded}, now);
+    addSample(state.limit, end.wasOverloaded ? LimitSample::Overloaded : LimitSample::Finished,
+              now);
 }
 
 void cancel(AdmissionState &state, WorkToken token)
@@ -74,6 +77,24 @@
     return load;
 }
 
+KindLatency latencyOf(const AdmissionState &state, const WorkAttributes &attributes)
+{
+    const auto known = state.latencyByKind.find(
+            {attributes.duration, attributes.importance, attributes.kind});
+    return known == state.latencyByKind.end() ? KindLatency{} : known->second;
+}
+
+std::chrono::nanoseconds queueWait(const AdmissionState &state)
+{
+    double milliseconds = 0.0;
+    for (const QueuedWork &work : state.queue) {
+        const KindLatency known = latencyOf(state, work.attributes);
+        milliseconds += known.mean == 0.0 ? state.shortLatency : known.mean;
+    }
+    return std::chrono::nanoseconds(
+            static_cast<std::int64_t>(milliseconds * 1e6 / currentLimit(state.limit)));
+}
+
 void markRunning(AdmissionState &state, WorkToken token, Duration duration)
 {
     state.running.emplace(token, duration);
--- a/Libraries/LibPolicy/Admission.h
+++ b/Libraries/LibPolicy/Admission.h
@@ -6,13 +6,14 @@
 #include <LibKernel/Registry.h>
 #include <LibNode/Call.h>
 #include <LibPolicy/ConcurrencyLimit.h>
+#include <LibPolicy/FastQuarter.h>
 
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 /// Admission of work at the node beside a target: run now, wait in a short queue, or be refused.
@@ -44,6 +45,13 @@
     std::uint64_t arrival = 0; ///< Order of arrival.
 };
 
+/// How long work of one kind takes on the target, in milliseconds; 0 before the first.
+struct KindLatency
+{
+    double mean = 0.0; ///< Smoothed.
+    FastQuarter fast;
+};
+
 /// The work that runs or waits at one target, shared by all plug-ins.
 struct AdmissionState
 {
@@ -55,7 +63,8 @@
     std::uint64_t arrivals = 0;
     double shortLatency = 0.0; ///< Smoothed time on the target, milliseconds; 0 before the first.
     double longLatency = 0.0;  ///< The same for long work.
-    std::map<std::pair<Duration, std::string>, double> latencyByKind; ///< The same for each kind.
+    /// More important work of a kind overtakes the rest below, too, and so is faster.
+    std::map<std::tuple<Duration, Importance, std::string>, KindLatency> latencyByKind;
     std::uint8_t admitted = importanceLevels - 1;
     TimePoint admittedUntil; ///< Until then the lowered level `admitted` stands.
 };
@@ -93,6 +102,7 @@
     bool wasOverloaded = false; ///< The target refused it because of overload.
     bool hasFailed = false;     ///< It ended in an error, so the latency tells nothing of its work.
     std::string kind = {};
+    Importance importance = Importance::Normal;
 };
 
 /// One way of admission.
@@ -122,6 +132,12 @@
 /// What the node tells its peers.
 [[nodiscard]] TargetLoad loadOf(const AdmissionState &state, TimePoint now);
 
+/// What is known of how long such work takes.
+[[nodiscard]] KindLatency latencyOf(const AdmissionState &state, const WorkAttributes &attributes);
+
+/// How long work that comes now would wait if all that is queued ran before it.
+[[nodiscard]] std::chrono::nanoseconds queueWait(const AdmissionState &state);
+
 /// Marks work as running; for plug-ins.
 void markRunning(AdmissionState &state, WorkToken token, Duration duration);
 
--- /dev/null
+++ b/Libraries/LibPolicy/MeshReport.cpp
@@ -0,0 +1,83 @@
+#include <LibPolicy/MeshReport.h>
+
+#include <LibCore/Cbor.h>
+
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+
+namespace chive {
+
+namespace {
+
+using nlohmann::json;
+
+json encodeRoots(const MeshReport &report)
+{
+    json roots = json::object();
+    for (const auto &[kind, count] : report.roots) {
+        roots[kind] = json::array({count.service, static_cast<std::uint8_t>(count.importance),
+                                   count.offered, count.admitted, count.inFlight, count.fastLatency,
+                                   count.objective});
+    }
+    return roots;
+}
+
+double readAmount(const json &value)
+{
+    const auto amount = value.get<double>();
+    if (!std::isfinite(amount) || amount < 0.0)
+        throw json::other_error::create(500, "an amount is negative or not finite", &value);
+    return amount;
+}
+
+RootCount readRoot(const json &value)
+{
+    const auto importance = value.at(1).get<std::uint8_t>();
+    if (importance >= importanceLevels)
+        throw json::other_error::create(501, "unknown importance", &value);
+    return {value.at(0).get<std::string>(), static_cast<Importance>(importance),
+            readAmount(value.at(2)),        readAmount(value.at(3)),
+            readAmount(value.at(4)),        readAmount(value.at(5)),
+            readAmount(value.at(6))};
+}
+
+MeshReport readReport(const json &parts)
+{
+    MeshReport report;
+    report.nodeId = parts.at(0).get<std::string>();
+    report.target.service = parts.at(1).get<std::string>();
+    report.target.pressure = readAmount(parts.at(2));
+    report.target.room = {readAmount(parts.at(3)), readAmount(parts.at(4))};
+    for (const auto &[kind, service] : parts.at(5).items())
+        report.target.enteredKinds.emplace(kind, service.get<std::string>());
+    for (const auto &[kind, count] : parts.at(6).items())
+        report.roots.emplace(kind, readRoot(count));
+    for (const auto &[kind, seconds] : parts.at(7).items())
+        report.work.emplace(kind, readAmount(seconds));
+    return report;
+}
+
+} // namespace
+
+std::string encodeReport(const MeshReport &report)
+{
+    std::string bytes;
+    json::to_cbor(
+            json::array({report.nodeId, report.target.service, report.target.pressure,
+                         report.target.room.slots, report.target.room.wait,
+                         json(report.target.enteredKinds), encodeRoots(report), json(report.work)}),
+            bytes);
+    return bytes;
+}
+
+Result<MeshReport> decodeReport(std::string_view bytes)
+{
+    try {
+        return readReport(parseCbor(bytes));
+    } catch (const json::exception &exception) {
+        return Error{Error::Kind::Invalid, std::string("malformed report: ") + exception.what()};
+    }
+}
+
+} // namespace chive
--- /dev/null
+++ b/Libraries/LibPolicy/RootAdmission.cpp
@@ -0,0 +1,258 @@
+#include <LibPolicy/RootAdmission.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <limits>
+#include <optional>
+#include <vector>
+
+namespace chive {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+/// Demand swings within a second or two.
+constexpr Seconds offeredTime{0.3};
+/// The work of a kind changes with the speed of the targets; trees take up to a few seconds.
+constexpr Seconds costTime{4.0};
+/// Fewer requests than this tell nothing of the work of a kind.
+constexpr double leastSample = 5.0;
+/// The wait at which the room of a service is taken for none, in seconds; damps the estimate's
+/// errors within the time that a tree of calls takes.
+constexpr double longestWait = 0.8;
+/// Of the slots of a service that are filled on purpose; the rest takes what swings within the time
+/// of a report.
+constexpr double filledPart = 1.0;
+/// Room that is left to a service however long work waits there.
+constexpr double leastRoom = 0.2;
+/// Of each kind, so that a change is seen.
+constexpr double leastShare = 0.02;
+/// Trees in flight are bounded to those that end within this part of their objective, or within
+/// somewhat more than the time that they take without a queue where that is longer. The work of a
+/// tree is seen when it ends; the bound keeps what has begun from growing until then.
+constexpr double objectivePart = 1.0;
+constexpr double latencySlack = 1.3;
+/// From the bound to this multiple of it the share falls to the least.
+constexpr double brakeWidth = 0.5;
+/// A node that has not reported for so long has nothing in flight.
+constexpr Milliseconds nodeMemory{1'500};
+
+/// Requests that a kind's gate may save up, so that a pause in the arrivals makes no burst.
+constexpr double mostCredit = 2.0;
+
+/// Requests return within this part of their objective, so that they can still be worth much.
+constexpr double leastReturn = 0.2;
+constexpr double mostReturn = 0.5;
+/// For requests without an objective.
+constexpr Milliseconds usualObjective{1'000};
+
+double faded(const FadingSum &sum, Seconds time, TimePoint now)
+{
+    const Seconds passed = now - sum.updated;
+    return sum.value * std::exp(-std::max(0.0, passed / time));
+}
+
+void add(FadingSum &sum, double amount, Seconds time, TimePoint now)
+{
+    sum.value = faded(sum, time, now) + amount;
+    sum.updated = now;
+}
+
+/// One kind as the fit sees it.
+struct Demand
+{
+    std::string_view kind;
+    Importance importance = Importance::Normal;
+    double perSecond = 0.0; ///< Requests offered.
+    double inFlight = 0.0;
+    double allowedTime = 0.0;                ///< Seconds in which its trees should end.
+    std::map<std::string_view, double> cost; ///< Slot seconds of one request, by service.
+};
+
+bool leadsTo(const std::map<std::string, ServicePressure, std::less<>> &services,
+             std::string_view from, const std::string &to)
+{
+    const auto found = services.find(from);
+    return from == to || (found != services.end() && found->second.servicesBelow.contains(to));
+}
+
+/// Work that no kind is known for is spread evenly over the requests that lead there.
+double unknownWorkOfEach(const RootLedger &ledger, const std::string &service, double work,
+                         const std::map<std::string, ServicePressure, std::less<>> &services,
+                         TimePoint now)
+{
+    double requests = 0.0;
+    for (const auto &[kind, entry] : ledger.kinds) {
+        if (leadsTo(services, entry.service, service))
+            requests += faded(entry.admitted, costTime, now);
+    }
+    return requests < leastSample ? 0.0 : work / requests;
+}
+
+void noteInFlight(Demand &demand, const RootLedger::KindEntry &entry, TimePoint now)
+{
+    double fastest = 0.0;
+    for (const auto &[nodeId, node] : entry.nodes) {
+        if (now - node.at > nodeMemory)
+            continue;
+        demand.inFlight += node.inFlight;
+        if (node.fastLatency > 0.0)
+            fastest = fastest == 0.0 ? node.fastLatency : std::min(fastest, node.fastLatency);
+    }
+    demand.allowedTime = std::max(objectivePart * entry.objective, latencySlack * fastest);
+}
+
+std::vector<Demand> demandsOf(const RootLedger &ledger,
+                              const std::map<std::string, ServicePressure, std::less<>> &services,
+                              TimePoint now)
+{
+    std::vector<Demand> demands;
+    for (const auto &[kind, entry] : ledger.kinds) {
+        Demand demand;
+        demand.kind = kind;
+        demand.importance = entry.importance;
+        demand.perSecond = faded(entry.offered, offeredTime, now) / offeredTime.count();
+        noteInFlight(demand, entry, now);
+        const double admitted = faded(entry.admitted, costTime, now);
+        for (const auto &[service, byKind] : ledger.work) {
+            const auto own = byKind.find(kind);
+            if (own != byKind.end() && admitted >= leastSample)
+                demand.cost[service] = faded(own->second, costTime, now) / admitted;
+            const auto unknown = byKind.find(std::string_view());
+            if (unknown != byKind.end() && leadsTo(services, entry.service, service))
+                demand.cost[service] += unknownWorkOfEach(
+                        ledger, service, faded(unknown->second, costTime, now), services, now);
+        }
+        demands.push_back(std::move(demand));
+    }
+    return demands;
+}
+
+double capacityOf(const ServiceRoom &room)
+{
+    return filledPart * room.slots * std::clamp(1.0 - room.wait / longestWait, leastRoom, 1.0);
+}
+
+using Load = std::map<std::string_view, double>;
+
+void addLoad(Load &load, const Demand &demand, double share)
+{
+    for (const auto &[service, cost] : demand.cost)
+        load[service] += share * demand.perSecond * cost;
+}
+
+/// The part of a rank's load that still fits into each service.
+Load fittingShares(const std::map<std::string, ServiceRoom, std::less<>> &rooms, const Load &used,
+                   const Load &wanted)
+{
+    Load shares;
+    for (const auto &[service, load] : wanted) {
+        const auto room = rooms.find(service);
+        if (room == rooms.end() || load <= 0.0)
+            continue;
+        const auto taken = used.find(service);
+        const double left = capacityOf(room->second) - (taken == used.end() ? 0.0 : taken->second);
+        shares[service] = std::max(left / load, leastShare);
+    }
+    return shares;
+}
+
+/// How often the requests of the kind would fit as they are offered; may be above 1.
+double fitOf(const Demand &demand, const Load &fitting)
+{
+    std::optional<double> least;
+    for (const auto &[service, cost] : demand.cost) {
+        const auto fits = fitting.find(service);
+        if (cost > 0.0 && fits != fitting.end())
+            least = std::min(fits->second, least.value_or(fits->second));
+    }
+    return least.value_or(std::numeric_limits<double>::infinity());
+}
+
+double shareOf(const Demand &demand, double fit)
+{
+    const double bound = demand.perSecond * fit * demand.allowedTime;
+    double brake = 1.0;
+    if (bound > 0.0 && std::isfinite(bound))
+        brake = std::clamp(1.0 - (demand.inFlight / bound - 1.0) / brakeWidth, 0.0, 1.0);
+    return std::max(leastShare, std::min(1.0, fit) * brake);
+}
+
+} // namespace
+
+void noteRoots(RootLedger &ledger, std::string_view nodeId, std::string_view kind,
+               const RootCount &count, TimePoint now)
+{
+    auto found = ledger.kinds.find(kind);
+    if (found == ledger.kinds.end())
+        found = ledger.kinds.emplace(std::string(kind), RootLedger::KindEntry{}).first;
+    RootLedger::KindEntry &entry = found->second;
+    entry.service = count.service;
+    entry.importance = count.importance;
+    entry.objective = count.objective;
+    entry.nodes.insert_or_assign(std::string(nodeId),
+                                 RootLedger::NodeEntry{count.inFlight, count.fastLatency, now});
+    add(entry.offered, count.offered, offeredTime, now);
+    add(entry.admitted, count.admitted, costTime, now);
+}
+
+void noteWork(RootLedger &ledger, std::string_view service, const WorkByKind &work, TimePoint now)
+{
+    auto &ofService = ledger.work[std::string(service)];
+    for (const auto &[kind, seconds] : work)
+        add(ofService[kind], seconds, costTime, now);
+}
+
+std::map<std::string, double, std::less<>>
+admittedShares(const RootLedger &ledger,
+               const std::map<std::string, ServiceRoom, std::less<>> &rooms,
+               const std::map<std::string, ServicePressure, std::less<>> &services, TimePoint now)
+{
+    const std::vector<Demand> demands = demandsOf(ledger, services, now);
+    std::map<std::string, double, std::less<>> shares;
+    Load used;
+    for (std::size_t level = 0; level < importanceLevels; ++level) {
+        const auto isOfLevel = [level](const Demand &demand) {
+            return static_cast<std::size_t>(demand.importance) == level;
+        };
+        Load wanted;
+        for (const Demand &demand : demands) {
+            if (isOfLevel(demand))
+                addLoad(wanted, demand, 1.0);
+        }
+        const Load fitting = fittingShares(rooms, used, wanted);
+        for (const Demand &demand : demands) {
+            if (!isOfLevel(demand))
+                continue;
+            const double share = shareOf(demand, fitOf(demand, fitting));
+            addLoad(used, demand, share);
+            shares.emplace(std::string(demand.kind), share);
+        }
+    }
+    return shares;
+}
+
+bool admitRoot(RootGate &gate, std::string_view kind, double share)
+{
+    auto found = gate.credits.find(kind);
+    if (found == gate.credits.end())
+        found = gate.credits.emplace(std::string(kind), 0.0).first;
+    double &credit = found->second;
+    credit = std::min(mostCredit, credit + share);
+    if (credit < 1.0)
+        return false;
+    credit -= 1.0;
+    return true;
+}
+
+Milliseconds returnAfter(double share, Milliseconds objective, double draw)
+{
+    const Milliseconds base = objective == Milliseconds(0) ? usualObjective : objective;
+    const double excess = std::clamp(2.0 - share, 1.0, 2.0);
+    const double factor = (leastReturn + (mostReturn - leastReturn) * draw) * excess;
+    return Milliseconds(static_cast<std::int64_t>(factor * static_cast<double>(base.count())));
+}
+
+} // namespace chive
--- a/Libraries/LibPolicy/ServicePressure.cpp
+++ b/Libraries/LibPolicy/ServicePressure.cpp
@@ -113,6 +113,22 @@
     return mesh;
 }
 
+std::map<std::string, ServiceRoom, std::less<>> roomsIn(const PressureTable &table, TimePoint now)
+{
+    std::map<std::string, ServiceRoom, std::less<>> rooms;
+    for (const auto &[nodeId, entry] : table.byNode) {
+        if (!isRecent(entry, now))
+            continue;
+        const ServiceRoom &one = entry.report.room;
+        ServiceRoom &room = rooms[entry.report.service];
+        const double slots = room.slots + one.slots;
+        if (slots > 0.0)
+            room.wait = (room.wait * room.slots + one.wait * one.slots) / slots;
+        room.slots = slots;
+    }
+    return rooms;
+}
+
 void forgetOldReports(PressureTable &table, TimePoint now)
 {
     std::erase_if(table.byNode, [&](const auto &entry) { return !isRecent(entry.second, now); });
--- a/Libraries/LibPolicy/ServicePressure.h
+++ b/Libraries/LibPolicy/ServicePressure.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibNode/MeshPressure.h>
+#include <LibPolicy/RootAdmission.h>
 
 #include <map>
 #include <string>
@@ -19,6 +20,7 @@
     double pressure = 0.0;
     /// Kinds of requests that entered at the node in the last seconds, with their service.
     std::map<std::string, std::string, std::less<>> enteredKinds;
+    ServiceRoom room = {}; ///< Of the one target.
 };
 
 /// The latest report of each node.
@@ -41,6 +43,10 @@
 /// sends enters only beside targets of its own service.
 [[nodiscard]] MeshPressure summarize(const PressureTable &table, TimePoint now);
 
+/// The room of each service, from the recent reports.
+[[nodiscard]] std::map<std::string, ServiceRoom, std::less<>> roomsIn(const PressureTable &table,
+                                                                      TimePoint now);
+
 /// Drops the reports that are too old to matter.
 void forgetOldReports(PressureTable &table, TimePoint now);
 
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -4,11 +4,12 @@
 #include <LibNode/DecisionLines.h>
 #include <LibNode/Dialect.h>
 #include <LibNode/Messages.h>
-#include <LibPolicy/RootShed.h>
+#include <LibPolicy/RootAdmission.h>
 #include <Node/CallMetrics.h>
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -36,6 +37,11 @@
                 [this](const CatalogueChanged &changed) { catalogue_ = changed.catalogue; });
         kernel.bus().subscribe<PressureChanged>(
                 [this](const PressureChanged &changed) { mesh_ = changed.mesh; });
+        kernel.bus().subscribe<RunStarted>([this](const RunStarted &started) {
+            running_.insert_or_assign(started.call->requestId, started.call);
+        });
+        kernel.bus().subscribe<RunEnded>(
+                [this](const RunEnded &ended) { running_.erase(ended.requestId); });
         kernel.bus().subscribe<CallRouted>([this](const CallRouted &routed) { finish(routed); });
         kernel.bus().subscribe<StopRequested>([this](const StopRequested &) { stop(); });
         kernel.addInFlight([this] { return open_.size() + (server_ ? server_->receiving() : 0); });
@@ -71,17 +77,17 @@
             refuse(*exchange, call.error(), request);
             return;
         }
-        call.value().isNested = mesh_->nestedKinds.contains(call.value().kind);
-        if (const auto refusal = reasonToShed(call.value())) {
-            noteDecision(call.value(), *refusal, std::chrono::nanoseconds(0));
-            refuse(*exchange, *refusal, request);
-            return;
-        }
+        placeInTree(call.value());
         const std::size_t size = bytesOf(request.body).size();
         if (bytesHeld_ + size > kernel_.settings().maximumBytesHeld) {
             refuse(*exchange, memoryVerdict(), request);
             return;
         }
+        if (const auto refusal = reasonToShed(call.value())) {
+            noteDecision(call.value(), *refusal, std::chrono::nanoseconds(0));
+            refuse(*exchange, *refusal, request);
+            return;
+        }
         bytesHeld_ += size;
         const Token token = nextToken();
         auto shared = std::make_shared<const Call>(std::move(call.value()));
@@ -90,35 +96,64 @@
         kernel_.bus().post(RouteCall{token, std::move(shared)});
     }
 
+    /// Tells whether the call begins a tree or belongs to one, and to which kind of request. What a
+    /// call is needed for is at least as important as the call that needs it.
+    void placeInTree(Call &call) const
+    {
+        const auto parent = running_.find(dialect_.parentOf(call.requestId));
+        const bool isParentKnown = parent != running_.end();
+        call.isNested = isParentKnown || mesh_->nestedKinds.contains(call.kind);
+        if (!call.isNested)
+            call.rootKind = call.kind;
+        if (!isParentKnown)
+            return;
+        call.rootKind = parent->second->rootKind;
+        call.importance = std::min(call.importance, parent->second->importance);
+    }
+
     /// Refuses a caller's request when a service that it leads to is full.
     std::optional<Verdict> reasonToShed(const Call &call)
     {
         if (call.isNested)
             return std::nullopt;
-        const double pressure = pressureFor(call);
-        std::uniform_real_distribution<double> draw(0.0, 1.0);
-        if (draw(random_) >= shedShare(pressure, call.importance))
+        const double share = shareOf(call);
+        const bool isAdmitted = admitRoot(gate_, call.kind, share);
+        kernel_.bus().post(
+                RootDecided{call.kind, call.service, call.importance, call.objective, isAdmitted});
+        if (isAdmitted)
             return std::nullopt;
+        std::uniform_real_distribution<double> draw(0.0, 1.0);
         Verdict verdict = notRun(Reason::Overloaded, "a service that it leads to is full");
-        verdict.retryAfter = returnAfter(pressure, call.objective, draw(random_));
+        verdict.retryAfter = returnAfter(share, call.objective, draw(random_));
         return verdict;
     }
 
-    /// Some kinds of a service call others and some do not, which the reports cannot tell apart.
-    /// What is important is refused for its own service only; refusing the rest makes room below.
+    /// The share of such requests that is taken on.
+    [[nodiscard]] double shareOf(const Call &call) const
+    {
+        const auto found = mesh_->rootShares.find(call.kind);
+        return found == mesh_->rootShares.end() ? 1.0 : found->second;
+    }
+
     [[nodiscard]] double pressureFor(const Call &call) const
     {
         const auto found = mesh_->services.find(call.service);
-        if (found == mesh_->services.end())
-            return 0.0;
-        return call.importance <= Importance::High ? found->second.own : found->second.below;
+        return found == mesh_->services.end() ? 0.0 : found->second.below;
     }
 
     void noteDecision(const Call &call, const Judged<Answer> &result,
                       std::chrono::nanoseconds latency)
     {
+        const auto left = std::chrono::floor<Milliseconds>(call.deadline - kernel_.clock().now());
         logDecision(kernel_.decisions(), call, result,
-                    {"request", latency, catalogue_->version, pressureFor(call), {}});
+                    {"request",
+                     latency,
+                     catalogue_->version,
+                     pressureFor(call),
+                     {},
+                     std::nullopt,
+                     left,
+                     shareOf(call)});
     }
 
     static Verdict memoryVerdict()
@@ -146,6 +181,11 @@
         open_.erase(found);
         bytesHeld_ -= request.bytesHeld;
         const auto latency = kernel_.clock().now() - request.since;
+        if (!request.call->isNested) {
+            const Judged<Answer> &result = routed.outcome.result;
+            const bool wasServed = result.has_value() && !isServerError(result.value().status);
+            kernel_.bus().post(RootEnded{request.call->kind, latency, wasServed});
+        }
         metrics_.countFinished(*request.call, routed.outcome.result, latency);
         noteDecision(*request.call, routed.outcome.result, latency);
         request.exchange->respond(
@@ -174,6 +214,9 @@
     std::shared_ptr<const Catalogue> catalogue_;
     std::unique_ptr<HttpServer> server_;
     std::map<Token, OpenRequest> open_;
+    /// What the target beside this node runs, by request id.
+    std::map<std::string, std::shared_ptr<const Call>, std::less<>> running_;
+    RootGate gate_;
     std::size_t bytesHeld_ = 0;
 };
 
--- a/Services/Node/NativeDialect.cpp
+++ b/Services/Node/NativeDialect.cpp
@@ -27,6 +27,12 @@
     return Answer{response.status, std::move(response.headers), response.body};
 }
 
+/// The Chive-Call header names the parent instead.
+std::string_view parentOf(std::string_view)
+{
+    return {};
+}
+
 bool isAnnouncement(const HttpRequest &request)
 {
     return request.target == "/announce";
@@ -41,6 +47,7 @@
         "native",
         readNativeCall,
         requestIdOf,
+        parentOf,
         nativeRequestForTarget,
         headers::call,
         BodyEnd::Framed,
--- a/Services/Node/PressureTask.cpp
+++ b/Services/Node/PressureTask.cpp
@@ -1,23 +1,23 @@
-#include <LibCore/Cbor.h>
 #include <LibKernel/Kernel.h>
 #include <LibNode/Messages.h>
+#include <LibPolicy/FastQuarter.h>
+#include <LibPolicy/MeshReport.h>
+#include <LibPolicy/RootAdmission.h>
 #include <LibPolicy/ServicePressure.h>
 
 #include <glog/logging.h>
-#include <nlohmann/json.hpp>
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
 
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace chive {
 
 namespace {
 
-using nlohmann::json;
-
 /// Reports are sent this often; what they say is smoothed over about three of them.
 constexpr Milliseconds reportInterval{100};
 constexpr double smoothing = 0.4;
@@ -41,7 +41,13 @@
                              .Register(kernel.metrics()))
     {
         Bus &bus = kernel.bus();
-        bus.subscribe<TargetPressure>([this](const TargetPressure &message) { latest_ = message; });
+        bus.subscribe<TargetPressure>([this](const TargetPressure &message) {
+            latest_ = message;
+            for (const auto &[kind, seconds] : message.work)
+                work_[kind] += seconds;
+        });
+        bus.subscribe<RootDecided>([this](const RootDecided &decided) { count(decided); });
+        bus.subscribe<RootEnded>([this](const RootEnded &ended) { count(ended); });
         bus.subscribe<RouteCall>([this](const RouteCall &message) {
             entered_[message.call->kind] = {message.call->service, kernel_.clock().now()};
         });
@@ -65,13 +71,53 @@
         TimePoint at; ///< Of the latest request.
     };
 
+    void count(const RootDecided &decided)
+    {
+        const std::chrono::duration<double> objective = decided.objective;
+        RootCount &count = roots_[decided.kind];
+        count.service = decided.service;
+        count.importance = decided.importance;
+        count.objective = objective.count();
+        count.offered += 1.0;
+        if (!decided.isAdmitted)
+            return;
+        count.admitted += 1.0;
+        count.inFlight += 1.0;
+    }
+
+    void count(const RootEnded &ended)
+    {
+        const auto found = roots_.find(ended.kind);
+        if (found == roots_.end())
+            return;
+        found->second.inFlight -= 1.0;
+        if (!ended.wasServed)
+            return;
+        const std::chrono::duration<double> latency = ended.latency;
+        FastQuarter fast{found->second.fastLatency};
+        addSample(fast, latency.count());
+        found->second.fastLatency = fast.value;
+    }
+
+    /// The counts begin anew; what is in flight stays, and a kind without any is forgotten.
+    std::map<std::string, RootCount, std::less<>> takeRoots()
+    {
+        auto counts = roots_;
+        std::erase_if(roots_, [](const auto &entry) {
+            return entry.second.offered == 0.0 && entry.second.inFlight == 0.0;
+        });
+        for (auto &[kind, count] : roots_)
+            count.offered = count.admitted = 0.0;
+        return counts;
+    }
+
     void report()
     {
         const TimePoint now = kernel_.clock().now();
         std::erase_if(entered_,
                       [&](const auto &entry) { return now - entry.second.at > kindMemory; });
         smoothed_ += smoothing * (latest_.pressure - smoothed_);
-        if (!latest_.service.empty() && isReportDue())
+        if (isReportDue())
             send(now);
         forgetOldReports(table_, now);
         publish(now);
@@ -79,6 +125,10 @@
 
     bool isReportDue()
     {
+        if (!roots_.empty() || !work_.empty())
+            return true;
+        if (latest_.service.empty())
+            return false;
         if (smoothed_ < idlePressure && ++skipped_ < idleReports)
             return false;
         skipped_ = 0;
@@ -87,44 +137,47 @@
 
     void send(TimePoint now)
     {
-        PressureReport own{latest_.service, smoothed_, {}};
+        MeshReport own;
+        own.nodeId = kernel_.settings().nodeId;
+        own.target = {latest_.service, smoothed_, {}, {latest_.slots, latest_.waitSeconds}};
         for (const auto &[kind, entry] : entered_)
-            own.enteredKinds.emplace(kind, entry.service);
-        std::string bytes;
-        json::to_cbor(json::array({kernel_.settings().nodeId, own.service, own.pressure,
-                                   json(own.enteredKinds)}),
-                      bytes);
-        const auto payload = makeBody(std::move(bytes));
+            own.target.enteredKinds.emplace(kind, entry.service);
+        own.roots = takeRoots();
+        own.work = std::exchange(work_, {});
+        const auto payload = makeBody(encodeReport(own));
         for (const Member &member : *members_) {
-            if (member.nodeId != kernel_.settings().nodeId && member.state != MemberState::Dead)
+            if (member.nodeId != own.nodeId && member.state != MemberState::Dead)
                 kernel_.bus().post(
                         SendToPeer{member.links, LinkClass::Control, Topic::Pressure, payload});
         }
-        noteReport(table_, kernel_.settings().nodeId, std::move(own), now);
+        take(std::move(own), now);
     }
 
     void receive(const ReceivedFromPeer &frame)
     {
-        const json parts = parseCbor(*frame.payload);
-        const bool isValid = parts.is_array() && parts.size() == 4 && parts[0].is_string()
-                             && parts[1].is_string() && parts[2].is_number()
-                             && parts[3].is_object();
-        if (!isValid) {
-            LOG_EVERY_N(WARNING, 100)
-                    << "task=pressure event=malformed peer=" << format(frame.peer);
+        auto report = decodeReport(*frame.payload);
+        if (report.has_value()) {
+            take(std::move(report.value()), kernel_.clock().now());
             return;
         }
-        PressureReport report{parts[1].get<std::string>(), parts[2].get<double>(), {}};
-        for (const auto &[kind, service] : parts[3].items()) {
-            if (service.is_string())
-                report.enteredKinds.emplace(kind, service.get<std::string>());
-        }
-        noteReport(table_, parts[0].get<std::string>(), std::move(report), kernel_.clock().now());
+        LOG_EVERY_N(WARNING, 100) << "task=pressure event=malformed peer=" << format(frame.peer)
+                                  << " error=\"" << report.error().message << '"';
+    }
+
+    void take(MeshReport report, TimePoint now)
+    {
+        for (const auto &[kind, count] : report.roots)
+            noteRoots(ledger_, report.nodeId, kind, count, now);
+        if (report.target.service.empty())
+            return;
+        noteWork(ledger_, report.target.service, report.work, now);
+        noteReport(table_, report.nodeId, std::move(report.target), now);
     }
 
     void publish(TimePoint now)
     {
-        auto mesh = std::make_shared<const MeshPressure>(summarize(table_, now));
+        auto mesh = std::make_shared<MeshPressure>(summarize(table_, now));
+        mesh->rootShares = admittedShares(ledger_, roomsIn(table_, now), mesh->services, now);
         for (const auto &[service, pressure] : mesh->services)
             pressures_.Add({{"service", service}}).Set(pressure.below);
         kernel_.bus().post(PressureChanged{std::move(mesh)});
@@ -136,8 +189,11 @@
     TargetPressure latest_;
     double smoothed_ = 0.0;
     int skipped_ = 0;
-    std::map<std::string, EnteredKind> entered_; ///< By kind.
+    std::map<std::string, EnteredKind> entered_;          ///< By kind.
+    std::map<std::string, RootCount, std::less<>> roots_; ///< Since the last report, by kind.
+    WorkByKind work_;                                     ///< Since the last report.
     PressureTable table_;
+    RootLedger ledger_;
     Timer timer_;
 };
 
--- a/Services/Node/TargetTask.cpp
+++ b/Services/Node/TargetTask.cpp
@@ -237,6 +237,7 @@
         const HttpRequest request = dialect_.requestForTarget(
                 *work.call, {work.context, side_.targetId()}, work.startedAt);
         crashes_.noteStarted(work.call->fingerprint);
+        kernel_.bus().post(RunStarted{work.call});
         work.client = client;
         work.request = client->send(
                 request, std::max(left, Milliseconds(1)),
@@ -321,6 +322,8 @@
         const Work work = std::move(found->second);
         work_.erase(found);
         leaveAdmission(token, work, result);
+        if (work.startedAt != TimePoint{})
+            noteRunEnded(work);
         noteDecision(*work.call, result, work.startedAt);
         if (work.isGranted)
             kernel_.bus().post(GrantedCallEnded{token, result});
@@ -331,6 +334,13 @@
         startWork();
     }
 
+    void noteRunEnded(const Work &work)
+    {
+        const std::chrono::duration<double> ran = kernel_.clock().now() - work.startedAt;
+        workDone_[work.call->rootKind] += ran.count();
+        kernel_.bus().post(RunEnded{work.call->requestId});
+    }
+
     void noteDecision(const Call &call, const Judged<Answer> &result, TimePoint startedAt)
     {
         const TimePoint now = kernel_.clock().now();
@@ -338,7 +348,8 @@
         const TargetLoad load = loadOf(admissionState_, now);
         logDecision(kernel_.decisions(), call, result,
                     {"run", hasStarted ? now - startedAt : Milliseconds(0), catalogue_->version,
-                     pressureOf(load), side_.targetId()});
+                     pressureOf(load), side_.targetId(), load,
+                     std::chrono::floor<Milliseconds>(call.deadline - now), std::nullopt});
     }
 
     static double pressureOf(const TargetLoad &load)
@@ -359,6 +370,7 @@
         end.wasOverloaded = result.value().status == serviceUnavailable;
         end.hasFailed = isServerError(result.value().status);
         end.kind = work.call->kind;
+        end.importance = work.call->importance;
         finished(admissionState_, token, end, now);
     }
 
@@ -389,8 +401,10 @@
     {
         const TargetLoad load = loadOf(admissionState_, kernel_.clock().now());
         const bool isUsable = side_.isPresent() && !side_.isDraining() && !isStopping_;
-        kernel_.bus().post(
-                TargetPressure{isUsable ? side_.service() : std::string(), pressureOf(load)});
+        const std::chrono::duration<double> wait = queueWait(admissionState_);
+        kernel_.bus().post(TargetPressure{isUsable ? side_.service() : std::string(),
+                                          pressureOf(load), static_cast<double>(load.limit),
+                                          wait.count(), std::exchange(workDone_, {})});
     }
 
     [[nodiscard]] nlohmann::json report() const
@@ -419,6 +433,7 @@
     std::shared_ptr<const Catalogue> catalogue_;
     AdmissionState admissionState_ = makeAdmissionState({});
     std::map<Token, Work> work_;
+    std::map<std::string, double> workDone_; ///< TargetPressure::work.
     Timer tick_;
     Timer pressureTimer_;
     bool isStopping_ = false;
--- a/Tests/LibNode/TestCallCodec.cpp
+++ b/Tests/LibNode/TestCallCodec.cpp
@@ -25,6 +25,9 @@
     call.duration = Duration::Long;
     call.deadline = now + Milliseconds(1234);
     call.allowance = {2, 60};
+    call.isNested = true;
+    call.rootKind = "visit";
+    call.objective = Milliseconds(700);
     return call;
 }
 
@@ -53,6 +56,9 @@
     CHECK(copy.repetition == call.repetition);
     CHECK(copy.duration == call.duration);
     CHECK(copy.allowance == call.allowance);
+    CHECK(copy.isNested);
+    CHECK(copy.rootKind == call.rootKind);
+    CHECK(copy.objective == call.objective);
     CHECK(copy.deadline - there.now() == Milliseconds(1234));
 }
 
--- a/Tests/LibPolicy/TestAdmission.cpp
+++ b/Tests/LibPolicy/TestAdmission.cpp
@@ -129,6 +129,16 @@
             }
         }
 
+        SUBCASE("a part of a tree waits where new work of its rank is refused, and goes first")
+        {
+            story.offerMany(11, 40);
+            REQUIRE(story.offer(41).admitted == Admitted::Refuse);
+            WorkAttributes nested{Importance::Normal, Duration::Short, story.now + plenty};
+            nested.isNested = true;
+            CHECK(story.plugin->offer(story.state, nested, 42, story.now).admitted
+                  == Admitted::Queue);
+            CHECK(isStarted(story.finish(1, Milliseconds(10)), 42));
+        }
         SUBCASE("queued work that is cancelled never starts")
         {
             (void)story.offer(11);
@@ -157,6 +167,20 @@
         }
     }
 
+    SUBCASE("work is not refused for the usual time of its kind while some of it is fast enough")
+    {
+        for (WorkToken token = 100; token < 200; ++token) {
+            (void)story.offer(token);
+            (void)story.finish(token, Milliseconds(token % 2 == 0 ? 50 : 900));
+        }
+        (void)story.offer(1);
+        const auto offerHurried = [&](WorkToken token, Milliseconds timeLeft) {
+            return story.offer(token, Importance::Normal, Duration::Short, timeLeft);
+        };
+        CHECK(offerHurried(2, Milliseconds(300)).admitted == Admitted::Run);
+        CHECK(offerHurried(3, Milliseconds(20)).admitted == Admitted::Refuse);
+    }
+
     SUBCASE("work that would end too late is refused, unless the target is idle")
     {
         (void)story.offer(1);
@@ -208,7 +232,6 @@
         const TimePoint end = story.now + time;
         for (WorkToken token = 1'000; story.now < end; ++token) {
             (void)story.offer(token);
-            noteBinding(story.state.limit);
             (void)story.finish(token, latency, wasOverloaded);
             story.now += Milliseconds(1);
         }
@@ -226,13 +249,21 @@
         CHECK(currentLimit(story.state.limit) == 100);
     }
 
+    SUBCASE("stays when kinds of different length take turns")
+    {
+        for (int turn = 0; turn < 20; ++turn) {
+            runFor(Milliseconds(200), Milliseconds(20), false);
+            runFor(Milliseconds(200), Milliseconds(300), false);
+            CHECK(currentLimit(story.state.limit) == 100);
+        }
+    }
+
     SUBCASE("stays when a slower target gains nothing from a lower one")
     {
         const auto runSlowFor = [&](Milliseconds time) {
             const TimePoint end = story.now + time;
             for (WorkToken token = 1'000'000; story.now < end; ++token) {
                 (void)story.offer(token);
-                noteBinding(story.state.limit);
                 (void)story.finish(token, Milliseconds(100), false);
                 // Throughput is proportional to the limit, as on a target with separate slots.
                 story.now += Microseconds(100'000 / currentLimit(story.state.limit));
--- /dev/null
+++ b/Tests/LibPolicy/TestRootAdmission.cpp
@@ -0,0 +1,238 @@
+#include <LibPolicy/MeshReport.h>
+#include <LibPolicy/RootAdmission.h>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+using namespace chive;
+
+namespace {
+
+constexpr Milliseconds tickLength{100};
+constexpr double tickSeconds = 0.1;
+
+struct LoadOfKind
+{
+    std::string name;
+    Importance importance = Importance::Normal;
+    double perSecond = 0.0;
+    double deepWork = 0.0;     ///< Slot seconds of one request at the deep service.
+    std::size_t treeTicks = 4; ///< Until its work reaches the deep service and is charged.
+};
+
+/// Callers' requests whose trees lead to one deep service, which works off what reaches it in the
+/// order of arrival. The gate of one node stands for all.
+struct DeepService
+{
+    explicit DeepService(double serviceSlots)
+        : slots(serviceSlots)
+    {}
+
+    void play(const LoadOfKind &load)
+    {
+        double admitted = 0.0;
+        const double offered = load.perSecond * tickSeconds;
+        for (int i = 0; i < static_cast<int>(offered); ++i) {
+            const auto share = shares.find(load.name);
+            const double taken = share == shares.end() ? 1.0 : share->second;
+            admitted += admitRoot(gate, load.name, taken) ? 1.0 : 0.0;
+        }
+        std::deque<double> &onTheWay = underWay[load.name];
+        onTheWay.push_back(admitted);
+        inFlight[load.name] += admitted;
+        if (onTheWay.size() > load.treeTicks) {
+            queue.emplace_back(load, onTheWay.front());
+            onTheWay.pop_front();
+        }
+        noteRoots(ledger, "node", load.name,
+                  {"front", load.importance, offered, admitted, inFlight[load.name], 0.4, 1.5},
+                  now);
+        offeredInAll[load.name] += offered;
+    }
+
+    void workOff()
+    {
+        double room = slots * tickSeconds;
+        while (room > 0.0 && !queue.empty()) {
+            auto &[load, requests] = queue.front();
+            const double done = std::min(requests, room / load.deepWork);
+            noteWork(ledger, "deep", {{load.name, done * load.deepWork}}, now);
+            served[load.name] += done;
+            inFlight[load.name] -= done;
+            room -= done * load.deepWork;
+            requests -= done;
+            if (requests <= 0.0)
+                queue.pop_front();
+        }
+    }
+
+    double waitSeconds() const
+    {
+        double work = 0.0;
+        for (const auto &[load, requests] : queue)
+            work += requests * load.deepWork;
+        return work / slots;
+    }
+
+    void playFor(double seconds, const std::vector<LoadOfKind> &loads)
+    {
+        for (double passed = 0.0; passed < seconds; passed += tickSeconds) {
+            for (const LoadOfKind &load : loads)
+                play(load);
+            workOff();
+            longestWait = std::max(longestWait, waitSeconds());
+            // The reports of many nodes come at all times; on average half a tick ago.
+            now += tickLength / 2;
+            shares = admittedShares(ledger, {{"deep", {slots, waitSeconds()}}}, {}, now);
+            now += tickLength / 2;
+        }
+    }
+
+    void forgetFigures()
+    {
+        served.clear();
+        offeredInAll.clear();
+        longestWait = 0.0;
+    }
+
+    double slots;
+    RootLedger ledger;
+    RootGate gate;
+    std::map<std::string, double, std::less<>> shares;
+    std::map<std::string, std::deque<double>> underWay;
+    std::map<std::string, double> inFlight;
+    std::deque<std::pair<LoadOfKind, double>> queue;
+    std::map<std::string, double> served;
+    std::map<std::string, double> offeredInAll;
+    double longestWait = 0.0;
+    TimePoint now{std::chrono::hours(1)};
+};
+
+} // namespace
+
+TEST_CASE("A service deep in the call graph is full")
+{
+    DeepService mesh(100.0);
+    const LoadOfKind order{"order", Importance::Critical, 200.0, 0.1};
+    const LoadOfKind browse{"browse", Importance::Normal, 200.0, 0.2};
+    const LoadOfKind status{"status", Importance::Normal, 50.0, 0.3, 0};
+
+    SUBCASE("what fits is all taken on")
+    {
+        mesh.playFor(5.0, {{"browse", Importance::Normal, 300.0, 0.2}});
+        CHECK(mesh.served["browse"] >= 0.9 * mesh.offeredInAll["browse"]);
+        CHECK(mesh.shares.at("browse") == 1.0);
+    }
+
+    SUBCASE("twice of what fits: the service stays busy and nobody waits long")
+    {
+        LoadOfKind twice = browse;
+        twice.perSecond = 1'000.0;
+        mesh.playFor(3.0, {twice});
+        mesh.forgetFigures();
+        mesh.playFor(10.0, {twice});
+        const double busy = mesh.served["browse"] * browse.deepWork / (mesh.slots * 10.0);
+        CHECK(busy >= 0.9);
+        CHECK(mesh.longestWait <= 0.5);
+    }
+
+    SUBCASE("the more important kind is taken on whole, the others share what is left")
+    {
+        mesh.playFor(3.0, {order, browse, status});
+        mesh.forgetFigures();
+        LoadOfKind many = browse;
+        many.perSecond = 800.0;
+        mesh.playFor(10.0, {order, many, status});
+        CHECK(mesh.served["order"] >= 0.98 * mesh.offeredInAll["order"]);
+        const double browseShare = mesh.served["browse"] / mesh.offeredInAll["browse"];
+        const double statusShare = mesh.served["status"] / mesh.offeredInAll["status"];
+        CHECK(browseShare < 0.6);
+        CHECK(std::abs(browseShare - statusShare) <= 0.15);
+    }
+
+    SUBCASE("after a burst, all is taken on again within two seconds")
+    {
+        LoadOfKind burst = browse;
+        burst.perSecond = 2'000.0;
+        mesh.playFor(3.0, {burst});
+        mesh.playFor(2.0, {browse});
+        CHECK(mesh.shares.at("browse") == 1.0);
+        CHECK(mesh.waitSeconds() == 0.0);
+    }
+}
+
+TEST_CASE("Work that cannot be charged to a kind is spread over those that lead to it")
+{
+    const TimePoint now{std::chrono::hours(1)};
+    RootLedger ledger;
+    noteRoots(ledger, "a", "browse", {"front", Importance::Normal, 100.0, 100.0, 0.0, 0.4, 1.5},
+              now);
+    noteRoots(ledger, "a", "upload", {"files", Importance::Normal, 100.0, 100.0, 0.0, 0.4, 1.5},
+              now);
+    noteWork(ledger, "deep", {{"", 50.0}}, now);
+    std::map<std::string, ServicePressure, std::less<>> services;
+    services["front"].servicesBelow = {"deep"};
+    const auto shares = admittedShares(ledger, {{"deep", {20.0, 0.0}}}, services, now);
+    CHECK(shares.at("browse") < 0.5);
+    CHECK(shares.at("upload") == 1.0);
+}
+
+TEST_CASE("A gate takes on its share, evenly")
+{
+    RootGate gate;
+    const auto admittedOf = [&](int requests, double share) {
+        int admitted = 0;
+        for (int i = 0; i < requests; ++i)
+            admitted += admitRoot(gate, "browse", share) ? 1 : 0;
+        return admitted;
+    };
+    CHECK(admittedOf(100, 1.0) == 100);
+    const int ofHalf = admittedOf(100, 0.5);
+    CHECK(ofHalf >= 49);
+    CHECK(ofHalf <= 52);
+    CHECK(admittedOf(100, 0.02) <= 4);
+}
+
+TEST_CASE("Who was refused is told a time within the objective")
+{
+    const Milliseconds objective{1'000};
+    CHECK(returnAfter(1.0, objective, 0.0) == Milliseconds(200));
+    CHECK(returnAfter(1.0, objective, 1.0) == Milliseconds(500));
+    CHECK(returnAfter(0.0, objective, 0.0) == Milliseconds(400));
+    CHECK(returnAfter(0.0, Milliseconds(0), 1.0) == Milliseconds(1'000));
+}
+
+TEST_CASE("A report crosses a link unchanged, and what is none is refused")
+{
+    MeshReport report;
+    report.nodeId = "n1";
+    report.target = {"proofs", 0.5, {{"stock", "proofs"}}, {80.0, 0.25}};
+    report.roots.emplace("browse", RootCount{"front", Importance::Low, 7.0, 5.0, 3.0, 0.4, 1.5});
+    report.work = {{"browse", 1.5}, {"", 0.5}};
+    const std::string bytes = encodeReport(report);
+    const auto decoded = decodeReport(bytes);
+    REQUIRE(decoded.has_value());
+    const MeshReport &copy = decoded.value();
+    CHECK(copy.nodeId == "n1");
+    CHECK(copy.target.service == "proofs");
+    CHECK(copy.target.room.slots == 80.0);
+    CHECK(copy.target.room.wait == 0.25);
+    CHECK(copy.target.enteredKinds == report.target.enteredKinds);
+    CHECK(copy.roots.at("browse").importance == Importance::Low);
+    CHECK(copy.roots.at("browse").inFlight == 3.0);
+    CHECK(copy.work == report.work);
+
+    for (std::size_t length = 0; length < bytes.size(); ++length)
+        CHECK_FALSE(decodeReport(std::string_view(bytes).substr(0, length)).has_value());
+    report.target.pressure = -1.0;
+    CHECK_FALSE(decodeReport(encodeReport(report)).has_value());
+}
--- a/Tests/Platform/TestRequests.cpp
+++ b/Tests/Platform/TestRequests.cpp
@@ -73,6 +73,19 @@
     CHECK(findHeader(sent.headers, "Accept") == "text/plain");
 }
 
+TEST_CASE("The id of a nested call shows its parent")
+{
+    CHECK(dialect().parentOf("root.first.second") == "root.first");
+    CHECK(dialect().parentOf("root").empty());
+
+    HttpRequest request = sampleRequest();
+    std::string id = "0123456789abcdef";
+    for (int level = 1; level < 10; ++level)
+        id += ".0123456789abcdef";
+    request.headers[1].second = id;
+    CHECK(read(request, sampleCatalogue()).has_value());
+}
+
 TEST_CASE("What cannot be read is refused as not run")
 {
     HttpRequest request = sampleRequest();
