Policy, Node: Collect reports at two nodes, retry whole trees at a time

Change: nodes report to one collector in each of two data centres, which tell all what follows; the interval grows with the nodes, so that a collector takes no more than 330 reports a second. Retries of trees with a low draw, and of more important calls, may take the last tokens of a scarce budget; 0.65 of the shared ratio is income where it was half. Interest in writing no longer costs a system call each (epoll change list), and an empty queue no longer wakes the node 200 times a second.

--- a/Libraries/LibKernel/EventLoop.cpp
+++ b/Libraries/LibKernel/EventLoop.cpp
@@ -4,6 +4,7 @@
 #include <glog/logging.h>
 
 #include <csignal>
+#include <memory>
 #include <utility>
 
 namespace chive {
@@ -17,6 +18,17 @@
     return {seconds.count(), rest.count()};
 }
 
+/// With the change list the many short-lived interests in writing cost no system call each.
+event_base *makeBase()
+{
+    const std::unique_ptr<event_config, decltype(&event_config_free)> config(event_config_new(),
+                                                                             event_config_free);
+    if (config == nullptr
+        || event_config_set_flag(config.get(), EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST) != 0)
+        return nullptr;
+    return event_base_new_with_config(config.get());
+}
+
 } // namespace
 
 struct Timer::State
@@ -57,7 +69,7 @@
 };
 
 EventLoop::EventLoop()
-    : base_(event_base_new())
+    : base_(makeBase())
 {
     CHECK(base_ != nullptr) << "libevent offers no event base";
     // A write to a connection that the peer has closed must be an error, not the end.
--- a/Libraries/LibNode/Call.h
+++ b/Libraries/LibNode/Call.h
@@ -40,6 +40,7 @@
     TimePoint deadline;
     bool isNested = false;     ///< Made by a target for work that has begun.
     std::string rootKind = {}; ///< Kind of the caller's request that it belongs to; empty: unknown.
+    double treeDraw = 0.0;     ///< 0 to 1, the same for all calls of a tree.
     Milliseconds objective{0}; ///< An answer within it is worth most; 0: none is known.
     Allowance allowance;       ///< Lent to this call; what is unspent comes back with the answer.
 };
--- a/Libraries/LibNode/CallCodec.cpp
+++ b/Libraries/LibNode/CallCodec.cpp
@@ -170,6 +170,7 @@
             call.service,
             call.kind,
             call.rootKind,
+            call.treeDraw,
             call.method,
             call.path,
             encodeHeaders(call.headers),
@@ -199,6 +200,7 @@
         call.service = fields.next().get<std::string>();
         call.kind = fields.next().get<std::string>();
         call.rootKind = fields.next().get<std::string>();
+        call.treeDraw = fields.next().get<double>();
         call.method = fields.next().get<std::string>();
         call.path = fields.next().get<std::string>();
         call.headers = decodeHeaders(fields.next());
--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -73,7 +73,8 @@
     Quarantine = 7,
     Status = 8,
     Configuration = 9,
-    Pressure = 10,
+    Pressure = 10,        ///< Reports to collectors.
+    PressureSummary = 11, ///< From collectors.
 };
 
 /// Each class has connections of its own, so that short work and control never wait behind a long
--- /dev/null
+++ b/Libraries/LibPolicy/Collectors.cpp
@@ -0,0 +1,63 @@
+#include <LibPolicy/Collectors.h>
+
+#include <algorithm>
+#include <map>
+
+namespace chive {
+
+namespace {
+
+/// A second one goes on while the failure of the first is not known yet.
+constexpr std::size_t collectorCount = 2;
+constexpr Milliseconds shortestInterval{100};
+/// Each collector takes this many reports a second at most.
+constexpr std::size_t reportsPerSecond = 330;
+/// Several intervals, so that one late summary does not take the shares away.
+constexpr Milliseconds summaryLifetime{1'000};
+
+bool comesBefore(const Member &left, const Member &right)
+{
+    if (left.state != right.state)
+        return left.state < right.state;
+    return left.nodeId < right.nodeId;
+}
+
+} // namespace
+
+std::vector<Member> collectorsOf(std::span<const Member> members)
+{
+    std::map<std::string_view, const Member *> firstOf; // By data centre.
+    for (const Member &member : members) {
+        if (member.state == MemberState::Dead || member.state == MemberState::Leaving)
+            continue;
+        const Member *&first = firstOf[member.dataCentre];
+        if (first == nullptr || comesBefore(member, *first))
+            first = &member;
+    }
+    std::vector<Member> collectors;
+    for (const auto &[dataCentre, member] : firstOf) {
+        if (collectors.size() < collectorCount)
+            collectors.push_back(*member);
+    }
+    return collectors;
+}
+
+Milliseconds reportIntervalFor(std::size_t members)
+{
+    const Milliseconds paced{1'000 * members / reportsPerSecond};
+    return std::max(shortestInterval, paced);
+}
+
+std::optional<std::size_t> believedSummary(std::span<const SummaryOffer> offers, TimePoint now)
+{
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < offers.size(); ++i) {
+        if (now - offers[i].receivedAt > summaryLifetime)
+            continue;
+        if (!best || offers[i].reports > offers[*best].reports)
+            best = i;
+    }
+    return best;
+}
+
+} // namespace chive
--- a/Libraries/LibPolicy/MeshReport.cpp
+++ b/Libraries/LibPolicy/MeshReport.cpp
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 
 #include <cmath>
+#include <set>
+#include <utility>
 
 namespace chive {
 
@@ -58,6 +60,34 @@
     return report;
 }
 
+MeshSummary readSummary(const json &parts)
+{
+    MeshSummary summary;
+    summary.collector = parts.at(0).get<std::string>();
+    summary.reports = parts.at(1).get<std::size_t>();
+    for (const auto &[name, value] : parts.at(2).items()) {
+        ServicePressure &pressure = summary.mesh.services[name];
+        pressure.own = readAmount(value.at(0));
+        pressure.below = readAmount(value.at(1));
+        pressure.servicesBelow = value.at(2).get<std::set<std::string>>();
+    }
+    summary.mesh.nestedKinds = parts.at(3).get<std::set<std::string, std::less<>>>();
+    for (const auto &[kind, share] : parts.at(4).items())
+        summary.mesh.rootShares.emplace(kind, readAmount(share));
+    return summary;
+}
+
+/// Runs a reader whose accessors throw on a wrong type or a missing element.
+template<typename Value, typename Reader>
+Result<Value> guarded(std::string_view bytes, Reader reader)
+{
+    try {
+        return reader(parseCbor(bytes));
+    } catch (const json::exception &exception) {
+        return Error{Error::Kind::Invalid, std::string("malformed report: ") + exception.what()};
+    }
+}
+
 } // namespace
 
 std::string encodeReport(const MeshReport &report)
@@ -73,11 +103,25 @@
 
 Result<MeshReport> decodeReport(std::string_view bytes)
 {
-    try {
-        return readReport(parseCbor(bytes));
-    } catch (const json::exception &exception) {
-        return Error{Error::Kind::Invalid, std::string("malformed report: ") + exception.what()};
+    return guarded<MeshReport>(bytes, readReport);
+}
+
+std::string encodeSummary(const MeshSummary &summary)
+{
+    json services = json::object();
+    for (const auto &[name, pressure] : summary.mesh.services) {
+        services[name] = json::array({pressure.own, pressure.below, json(pressure.servicesBelow)});
     }
+    std::string bytes;
+    json::to_cbor(json::array({summary.collector, summary.reports, services,
+                               json(summary.mesh.nestedKinds), json(summary.mesh.rootShares)}),
+                  bytes);
+    return bytes;
+}
+
+Result<MeshSummary> decodeSummary(std::string_view bytes)
+{
+    return guarded<MeshSummary>(bytes, readSummary);
 }
 
 } // namespace chive
--- a/Libraries/LibPolicy/Retry.cpp
+++ b/Libraries/LibPolicy/Retry.cpp
@@ -7,8 +7,12 @@
 
 namespace {
 
-/// Of what all nodes together may retry, the part that they use.
-constexpr double usedPart = 0.5;
+/// Of the constant that all nodes together may retry, the part that they use.
+constexpr double usedConstant = 0.5;
+/// Of the ratio, the part that is income as requests come, and the part that may be saved up
+/// besides. What is left is for repeats that no node counts.
+constexpr double incomeOfRatio = 0.65;
+constexpr double savingsOfRatio = 0.1;
 /// With fewer members the view of the mesh is likely to be partial.
 constexpr std::size_t leastNodes = 10;
 constexpr int serviceUnavailable = 503; ///< RFC 9110, section 15.6.4.
@@ -20,11 +24,15 @@
     return value / 2 + value % 2;
 }
 
+double mostTokens(const RetryBudgetLimits &limits, double recentAttempts)
+{
+    return limits.largest + limits.largestPerFirstAttempt * recentAttempts;
+}
+
 void addTokens(RetryBudget &budget, double tokens)
 {
     const RetryBudgetLimits &limits = budget.limits;
-    const double largest = limits.largest + limits.largestPerFirstAttempt * budget.recentAttempts;
-    budget.tokens = std::min(largest, budget.tokens + tokens);
+    budget.tokens = std::min(mostTokens(limits, budget.recentAttempts), budget.tokens + tokens);
 }
 
 void refill(RetryBudget &budget, TimePoint now)
@@ -38,6 +46,17 @@
     budget.lastRefill = now;
 }
 
+/// Tokens that this call leaves to others. Trees with a low draw may take the last ones, so that a
+/// scarce budget completes some trees instead of a few calls of each; more important ones come
+/// first.
+double reserveFor(const Call &call, const RetryBudget &budget)
+{
+    const auto level = static_cast<double>(call.importance);
+    const double order = (level + call.treeDraw) / static_cast<double>(importanceLevels);
+    return std::max(0.0, mostTokens(budget.limits, budget.recentAttempts) - 1.0)
+           * budget.limits.reservedPart * order;
+}
+
 /// Whether another target could give a better answer for this reason.
 bool helpsElsewhere(Reason reason)
 {
@@ -101,12 +120,13 @@
     const auto sharers = static_cast<double>(std::max(nodes, leastNodes));
     const std::chrono::duration<double> seconds = window;
     RetryBudgetLimits limits;
-    limits.perFirstAttempt = usedPart * ratio;
+    limits.perFirstAttempt = incomeOfRatio * ratio;
     // The constant is spent once as savings and once as income of the window.
-    limits.largest = usedPart * constant / sharers / 2.0;
+    limits.largest = usedConstant * constant / sharers / 2.0;
     limits.perSecond = limits.largest / seconds.count();
-    limits.largestPerFirstAttempt = limits.perFirstAttempt / 2.0;
+    limits.largestPerFirstAttempt = savingsOfRatio * ratio;
     limits.window = window;
+    limits.reservedPart = 0.8;
     limits.countsUnreached = false;
     return limits;
 }
@@ -138,7 +158,7 @@
         return false;
     if (!hasReachedTarget(*end.result) && !budget.limits.countsUnreached)
         return true;
-    if (allowance.retries == 0 || budget.tokens < 1.0)
+    if (allowance.retries == 0 || budget.tokens < 1.0 + reserveFor(call, budget))
         return false;
     --allowance.retries;
     budget.tokens -= 1.0;
--- a/Libraries/LibPolicy/Retry.h
+++ b/Libraries/LibPolicy/Retry.h
@@ -27,12 +27,15 @@
     /// What can be saved up besides, for each first attempt in the last window.
     double largestPerFirstAttempt = 0.0;
     Milliseconds window{10'000};
+    /// Of what can be saved up, the part that the last in order leave to others: more important
+    /// calls, and trees of calls with a lower draw.
+    double reservedPart = 0.0;
     /// Whether a retry counts also when the attempt before it provably reached no target.
     bool countsUnreached = true;
 };
 
 /// The limits for one of `nodes` nodes that share, for each service and window, `constant` retries
-/// and `ratio` of the requests. Half is kept back for what nodes cannot know of each other:
+/// and `ratio` of the requests. A part is kept back for what nodes cannot know of each other:
 /// members that come and go, and repeats that callers make.
 [[nodiscard]] RetryBudgetLimits sharedLimits(double ratio, double constant, Milliseconds window,
                                              std::size_t nodes);
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -98,16 +98,18 @@
 
     /// Tells whether the call begins a tree or belongs to one, and to which kind of request. What a
     /// call is needed for is at least as important as the call that needs it.
-    void placeInTree(Call &call) const
+    void placeInTree(Call &call)
     {
         const auto parent = running_.find(dialect_.parentOf(call.requestId));
         const bool isParentKnown = parent != running_.end();
         call.isNested = isParentKnown || mesh_->nestedKinds.contains(call.kind);
         if (!call.isNested)
             call.rootKind = call.kind;
+        call.treeDraw = std::uniform_real_distribution<double>(0.0, 1.0)(random_);
         if (!isParentKnown)
             return;
         call.rootKind = parent->second->rootKind;
+        call.treeDraw = parent->second->treeDraw;
         call.importance = std::min(call.importance, parent->second->importance);
     }
 
--- a/Services/Node/LinkFrame.cpp
+++ b/Services/Node/LinkFrame.cpp
@@ -8,7 +8,7 @@
 
 using nlohmann::json;
 
-constexpr auto lastTopic = Topic::Pressure;
+constexpr auto lastTopic = Topic::PressureSummary;
 
 } // namespace
 
--- a/Services/Node/PressureTask.cpp
+++ b/Services/Node/PressureTask.cpp
@@ -1,5 +1,6 @@
 #include <LibKernel/Kernel.h>
 #include <LibNode/Messages.h>
+#include <LibPolicy/Collectors.h>
 #include <LibPolicy/FastQuarter.h>
 #include <LibPolicy/MeshReport.h>
 #include <LibPolicy/RootAdmission.h>
@@ -13,13 +14,13 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace chive {
 
 namespace {
 
-/// Reports are sent this often; what they say is smoothed over about three of them.
-constexpr Milliseconds reportInterval{100};
+/// Of the pressure, over about three reports.
 constexpr double smoothing = 0.4;
 /// An idle target is reported only this often, in intervals.
 constexpr int idleReports = 5;
@@ -27,8 +28,9 @@
 /// A kind counts as entering here for this long after a request.
 constexpr Milliseconds kindMemory{5'000};
 
-/// Tells all nodes how full the target beside this one is and which kinds of requests enter here,
-/// collects what they tell, and posts the pressure below each service and which kinds are nested.
+/// Tells the collectors how full the target beside this node is and what enters here, and posts
+/// what they make of it: the pressure below each service, which kinds are nested, and the share of
+/// callers' requests to take on. Where this node is a collector it does that for all.
 class PressureTask final : public Task
 {
 public:
@@ -55,16 +57,28 @@
                 [this](const MembersChanged &changed) { members_ = changed.members; });
         bus.subscribe<ReceivedFromPeer>([this](const ReceivedFromPeer &frame) {
             if (frame.topic == Topic::Pressure)
-                receive(frame);
+                receiveReport(frame);
+            else if (frame.topic == Topic::PressureSummary)
+                receiveSummary(frame);
         });
     }
 
     void start() override
     {
-        timer_ = kernel_.loop().every(reportInterval, [this] { report(); });
+        timer_ = kernel_.loop().after(reportIntervalFor(members_->size()), [this] {
+            report();
+            start();
+        });
     }
 
 private:
+    struct Held
+    {
+        std::size_t reports = 0;
+        std::shared_ptr<const MeshPressure> mesh;
+        TimePoint receivedAt;
+    };
+
     struct EnteredKind
     {
         std::string service;
@@ -120,6 +134,8 @@
         if (isReportDue())
             send(now);
         forgetOldReports(table_, now);
+        if (!table_.byNode.empty())
+            tellAll(now);
         publish(now);
     }
 
@@ -145,23 +161,37 @@
         own.roots = takeRoots();
         own.work = std::exchange(work_, {});
         const auto payload = makeBody(encodeReport(own));
-        for (const Member &member : *members_) {
-            if (member.nodeId != own.nodeId && member.state != MemberState::Dead)
+        for (const Member &collector : collectorsOf(*members_)) {
+            if (collector.nodeId == own.nodeId)
+                take(own, now);
+            else
                 kernel_.bus().post(
-                        SendToPeer{member.links, LinkClass::Control, Topic::Pressure, payload});
+                        SendToPeer{collector.links, LinkClass::Control, Topic::Pressure, payload});
         }
-        take(std::move(own), now);
     }
 
-    void receive(const ReceivedFromPeer &frame)
+    void receiveReport(const ReceivedFromPeer &frame)
     {
         auto report = decodeReport(*frame.payload);
-        if (report.has_value()) {
+        if (report.has_value())
             take(std::move(report.value()), kernel_.clock().now());
-            return;
-        }
+        else
+            warnOf(frame, report.error());
+    }
+
+    void receiveSummary(const ReceivedFromPeer &frame)
+    {
+        auto summary = decodeSummary(*frame.payload);
+        if (summary.has_value())
+            hold(std::move(summary.value()));
+        else
+            warnOf(frame, summary.error());
+    }
+
+    static void warnOf(const ReceivedFromPeer &frame, const Error &error)
+    {
         LOG_EVERY_N(WARNING, 100) << "task=pressure event=malformed peer=" << format(frame.peer)
-                                  << " error=\"" << report.error().message << '"';
+                                  << " error=\"" << error.message << '"';
     }
 
     void take(MeshReport report, TimePoint now)
@@ -174,13 +204,44 @@
         noteReport(table_, report.nodeId, std::move(report.target), now);
     }
 
+    /// As a collector.
+    void tellAll(TimePoint now)
+    {
+        MeshSummary summary{kernel_.settings().nodeId, table_.byNode.size(),
+                            summarize(table_, now)};
+        summary.mesh.rootShares
+                = admittedShares(ledger_, roomsIn(table_, now), summary.mesh.services, now);
+        const auto payload = makeBody(encodeSummary(summary));
+        for (const Member &member : *members_) {
+            if (member.nodeId != summary.collector && member.state != MemberState::Dead)
+                kernel_.bus().post(SendToPeer{member.links, LinkClass::Control,
+                                              Topic::PressureSummary, payload});
+        }
+        hold(std::move(summary));
+    }
+
+    void hold(MeshSummary summary)
+    {
+        const std::string collector = summary.collector;
+        held_.insert_or_assign(collector,
+                               Held{summary.reports,
+                                    std::make_shared<const MeshPressure>(std::move(summary.mesh)),
+                                    kernel_.clock().now()});
+    }
+
     void publish(TimePoint now)
     {
-        auto mesh = std::make_shared<MeshPressure>(summarize(table_, now));
-        mesh->rootShares = admittedShares(ledger_, roomsIn(table_, now), mesh->services, now);
+        std::vector<SummaryOffer> offers;
+        std::vector<std::shared_ptr<const MeshPressure>> meshes;
+        for (const auto &[collector, held] : held_) {
+            offers.push_back({collector, held.reports, held.receivedAt});
+            meshes.push_back(held.mesh);
+        }
+        const auto believed = believedSummary(offers, now);
+        const auto mesh = believed ? meshes[*believed] : std::make_shared<const MeshPressure>();
         for (const auto &[service, pressure] : mesh->services)
             pressures_.Add({{"service", service}}).Set(pressure.below);
-        kernel_.bus().post(PressureChanged{std::move(mesh)});
+        kernel_.bus().post(PressureChanged{mesh});
     }
 
     Kernel &kernel_;
@@ -192,8 +253,9 @@
     std::map<std::string, EnteredKind> entered_;          ///< By kind.
     std::map<std::string, RootCount, std::less<>> roots_; ///< Since the last report, by kind.
     WorkByKind work_;                                     ///< Since the last report.
-    PressureTable table_;
-    RootLedger ledger_;
+    PressureTable table_;                                 ///< As a collector.
+    RootLedger ledger_;                                   ///< As a collector.
+    std::map<std::string, Held> held_;                    ///< Summaries by collector.
     Timer timer_;
 };
 
--- a/Services/Node/TargetTask.cpp
+++ b/Services/Node/TargetTask.cpp
@@ -69,7 +69,6 @@
     void start() override
     {
         side_.start();
-        tick_ = kernel_.loop().every(queueInterval, [this] { startWork(); });
         pressureTimer_ = kernel_.loop().every(pressureInterval, [this] { tellPressure(); });
     }
 
@@ -162,12 +161,27 @@
                 now);
         for (const DroppedWork &dropped : decision.evicted)
             end(dropped.token, dropped.verdict);
-        if (decision.admitted == Admitted::Refuse)
+        if (decision.admitted == Admitted::Queue)
+            watchQueue();
+        else if (decision.admitted == Admitted::Refuse)
             end(token, decision.verdict);
         else if (decision.admitted == Admitted::Run)
             startAdmitted(token);
     }
 
+    /// An idle queue costs no wake-ups.
+    void watchQueue()
+    {
+        if (tick_.isActive())
+            return;
+        tick_ = kernel_.loop().after(queueInterval, [this] {
+            tick_.cancel();
+            startWork();
+            if (!admissionState_.queue.empty())
+                watchQueue();
+        });
+    }
+
     void startWork()
     {
         if (admissionState_.queue.empty())
--- a/Tests/LibNode/TestCallCodec.cpp
+++ b/Tests/LibNode/TestCallCodec.cpp
@@ -27,6 +27,7 @@
     call.allowance = {2, 60};
     call.isNested = true;
     call.rootKind = "visit";
+    call.treeDraw = 0.25;
     call.objective = Milliseconds(700);
     return call;
 }
@@ -58,6 +59,7 @@
     CHECK(copy.allowance == call.allowance);
     CHECK(copy.isNested);
     CHECK(copy.rootKind == call.rootKind);
+    CHECK(copy.treeDraw == call.treeDraw);
     CHECK(copy.objective == call.objective);
     CHECK(copy.deadline - there.now() == Milliseconds(1234));
 }
--- a/Tests/LibPolicy/TestRetry.cpp
+++ b/Tests/LibPolicy/TestRetry.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <random>
 #include <vector>
 
 using namespace chive;
@@ -228,3 +229,41 @@
     CHECK(granted >= 100);
     CHECK(granted <= 104);
 }
+
+TEST_CASE("A scarce budget completes some trees of calls instead of a few calls of each")
+{
+    // Every target turns away a third of the calls; a tree needs all of its eight.
+    constexpr int trees = 4'000;
+    constexpr int callsInTree = 8;
+    constexpr double refusedShare = 1.0 / 3.0;
+    const auto completed = [&](double reservedPart) {
+        std::minstd_rand random(1);
+        std::uniform_real_distribution<double> draw(0.0, 1.0);
+        RetryBudget budget;
+        budget.limits = sharedLimits(0.2, 0.0, Milliseconds(10'000), 10);
+        budget.limits.reservedPart = reservedPart;
+        Verdict refusal = notRun(Reason::Overloaded);
+        refusal.hasReachedTarget = true;
+        const Judged<Answer> refused = refusal;
+        int whole = 0;
+        TimePoint now = start;
+        for (int tree = 0; tree < trees; ++tree, now += Milliseconds(2)) {
+            Call call;
+            call.deadline = now + Milliseconds(1'000);
+            call.treeDraw = draw(random);
+            bool isWhole = true;
+            for (int i = 0; i < callsInTree; ++i) {
+                noteFirstAttempt(budget, now);
+                Allowance allowance{2, 0};
+                bool isServed = draw(random) >= refusedShare;
+                while (!isServed
+                       && takeRetry(call, {&refused, false, true}, allowance, budget, now))
+                    isServed = draw(random) >= refusedShare;
+                isWhole = isWhole && isServed;
+            }
+            whole += isWhole ? 1 : 0;
+        }
+        return whole;
+    };
+    CHECK(completed(0.8) >= 1.5 * completed(0.0));
+}
--- a/Tests/LibPolicy/TestRootAdmission.cpp
+++ b/Tests/LibPolicy/TestRootAdmission.cpp
@@ -1,3 +1,4 @@
+#include <LibPolicy/Collectors.h>
 #include <LibPolicy/MeshReport.h>
 #include <LibPolicy/RootAdmission.h>
 
@@ -8,6 +9,7 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -236,3 +238,75 @@
     report.target.pressure = -1.0;
     CHECK_FALSE(decodeReport(encodeReport(report)).has_value());
 }
+
+TEST_CASE("A few nodes collect the reports of all")
+{
+    const auto member = [](std::string id, std::string dataCentre, MemberState state) {
+        Member made;
+        made.nodeId = std::move(id);
+        made.dataCentre = std::move(dataCentre);
+        made.state = state;
+        return made;
+    };
+    std::vector<Member> members{
+            member("a1", "a", MemberState::Alive), member("a2", "a", MemberState::Alive),
+            member("b1", "b", MemberState::Alive), member("c1", "c", MemberState::Alive)};
+    const auto idsOf = [](const std::vector<Member> &collectors) {
+        std::vector<std::string> ids;
+        for (const Member &collector : collectors)
+            ids.push_back(collector.nodeId);
+        return ids;
+    };
+
+    SUBCASE("one in a data centre, of two data centres")
+    {
+        CHECK(idsOf(collectorsOf(members)) == std::vector<std::string>{"a1", "b1"});
+    }
+    SUBCASE("the next one takes over from one that leaves, is dead or may be")
+    {
+        for (const MemberState state :
+             {MemberState::Suspect, MemberState::Leaving, MemberState::Dead}) {
+            members[0].state = state;
+            CHECK(idsOf(collectorsOf(members)) == std::vector<std::string>{"a2", "b1"});
+        }
+    }
+    SUBCASE("where a data centre has nobody left, another one comes in")
+    {
+        members[2].state = MemberState::Dead;
+        CHECK(idsOf(collectorsOf(members)) == std::vector<std::string>{"a1", "c1"});
+    }
+    SUBCASE("a collector of hundreds takes no more reports a second")
+    {
+        CHECK(reportIntervalFor(13) == Milliseconds(100));
+        for (const std::size_t nodes : {100, 300, 890})
+            CHECK(nodes * 1'000.0 / reportIntervalFor(nodes).count() <= 340.0);
+    }
+    SUBCASE("the summary of most reports is believed while it is recent")
+    {
+        const TimePoint now{std::chrono::hours(1)};
+        const std::vector<SummaryOffer> offers{{"a", 40, now - Milliseconds(1'500)},
+                                               {"b", 12, now - Milliseconds(100)},
+                                               {"c", 30, now - Milliseconds(400)}};
+        CHECK(believedSummary(offers, now) == std::size_t{2});
+        CHECK_FALSE(believedSummary({}, now).has_value());
+        CHECK_FALSE(believedSummary(offers, now + Milliseconds(2'000)).has_value());
+    }
+    SUBCASE("a summary crosses a link unchanged, and what is none is refused")
+    {
+        MeshSummary summary{"a1", 3, {}};
+        summary.mesh.services["front"] = {0.5, 0.9, {"deep"}};
+        summary.mesh.nestedKinds = {"stock"};
+        summary.mesh.rootShares = {{"browse", 0.25}};
+        const std::string bytes = encodeSummary(summary);
+        const auto decoded = decodeSummary(bytes);
+        REQUIRE(decoded.has_value());
+        CHECK(decoded.value().collector == "a1");
+        CHECK(decoded.value().reports == 3);
+        CHECK(decoded.value().mesh.services.at("front").servicesBelow
+              == std::set<std::string>{"deep"});
+        CHECK(decoded.value().mesh.nestedKinds == summary.mesh.nestedKinds);
+        CHECK(decoded.value().mesh.rootShares == summary.mesh.rootShares);
+        for (std::size_t length = 0; length < bytes.size(); ++length)
+            CHECK_FALSE(decodeSummary(std::string_view(bytes).substr(0, length)).has_value());
+    }
+}
