Node: Read the directory of nodes at most once a second

Change: a pause of half to a whole second between two reads of the directory; members tell of a new node in the meantime. Changes of the configuration are still awaited without a pause.

--- a/Services/Node/StoreTask.cpp
+++ b/Services/Node/StoreTask.cpp
@@ -28,6 +28,8 @@
 /// Entries that were missed while the store was away must be known within 2 s of its return.
 constexpr Milliseconds firstRetry{200};
 constexpr Milliseconds longestRetry{1'000};
+/// Between two reads of the directory. Nodes that know one another tell of a new one within it.
+constexpr Milliseconds directoryPause{1'000};
 
 /// The one client of the store. For each topic that is followed it reads the newest values, then
 /// waits for changes from that offset on.
@@ -107,7 +109,7 @@
         }
         followed.isLoaded = true;
         kernel_.bus().post(StoreRead{topic, std::exchange(followed.pages, {}), true});
-        awaitChanges(topic);
+        awaitMore(topic);
     }
 
     void awaitChanges(StoreTopic topic)
@@ -138,7 +140,21 @@
         followed.next = from + changes.value().entries.size();
         if (!changes.value().entries.empty())
             kernel_.bus().post(StoreRead{topic, std::move(changes.value().entries), false});
-        awaitChanges(topic);
+        awaitMore(topic);
+    }
+
+    /// Nodes that start together write one entry each. Who asks again at once would be answered
+    /// once for each of them, a number of calls that grows with the square of the nodes.
+    void awaitMore(StoreTopic topic)
+    {
+        if (topic != StoreTopic::Directory) {
+            awaitChanges(topic);
+            return;
+        }
+        std::uniform_int_distribution<std::int64_t> spread(directoryPause.count() / 2,
+                                                           directoryPause.count());
+        followed_.at(topic).pause = kernel_.loop().after(Milliseconds(spread(random_)),
+                                                         [this, topic] { awaitChanges(topic); });
     }
 
     void put(const PutInStore &message)
