Policy: Keep the weights of a route's services behind the gate

The entry spreads the requests of a route evenly over its services and the gate takes on an even choice of them; at a share of a half it took the same places of the spread again and again.

Ruled out: the counters of the weights themselves (they start anew with a change and hold over any span).

Change: the gate counts each service of a route for itself. TestRootAdmission plays it: before, 500 of 500 admitted requests went to the service of weight 0.75 at a share of 0.5; now 375 within 2 in 100.

--- a/Libraries/LibPolicy/RootAdmission.cpp
+++ b/Libraries/LibPolicy/RootAdmission.cpp
@@ -234,12 +234,9 @@
     return shares;
 }
 
-bool admitRoot(RootGate &gate, std::string_view kind, double share)
+bool admitRoot(RootGate &gate, const RootGate::Part &part, double share)
 {
-    auto found = gate.credits.find(kind);
-    if (found == gate.credits.end())
-        found = gate.credits.emplace(std::string(kind), 0.0).first;
-    double &credit = found->second;
+    double &credit = gate.credits[part];
     credit = std::min(mostCredit, credit + share);
     if (credit < 1.0)
         return false;
--- a/Libraries/LibPolicy/RootAdmission.h
+++ b/Libraries/LibPolicy/RootAdmission.h
@@ -4,6 +4,7 @@
 #include <LibCore/Clock.h>
 #include <LibNode/MeshPressure.h>
 
+#include <compare>
 #include <cstddef>
 #include <map>
 #include <string>
@@ -87,13 +88,24 @@
 
 /// Takes on the share of each kind at one node, evenly over the requests. Callers who come back
 /// after a refusal get no better place: it would be taken from new ones, who are still in time.
+///
+/// Each service that the requests of a kind are spread over is counted for itself. With one count
+/// for all, an even choice out of an even spread falls on the same service again and again.
 struct RootGate
 {
-    std::map<std::string, double, std::less<>> credits; ///< Requests ahead of the share, by kind.
+    struct Part
+    {
+        std::string kind;
+        std::string service;
+
+        auto operator<=>(const Part &) const = default;
+    };
+
+    std::map<Part, double> credits; ///< Requests ahead of the share.
 };
 
 /// Whether to take the request on.
-[[nodiscard]] bool admitRoot(RootGate &gate, std::string_view kind, double share);
+[[nodiscard]] bool admitRoot(RootGate &gate, const RootGate::Part &part, double share);
 
 /// When a request that was refused while that share was taken on should come back. `draw` is random
 /// in 0 to 1 and spreads the returns, so that they do not arrive as the next burst.
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -119,7 +119,7 @@
         if (call.isNested)
             return std::nullopt;
         const double share = shareOf(call);
-        const bool isAdmitted = admitRoot(gate_, call.kind, share);
+        const bool isAdmitted = admitRoot(gate_, {call.kind, call.service}, share);
         kernel_.bus().post(
                 RootDecided{call.kind, call.service, call.importance, call.objective, isAdmitted});
         if (isAdmitted)
--- a/Tests/LibPolicy/TestRootAdmission.cpp
+++ b/Tests/LibPolicy/TestRootAdmission.cpp
@@ -1,3 +1,4 @@
+#include <LibCatalogue/ShareCounters.h>
 #include <LibPolicy/Collectors.h>
 #include <LibPolicy/MeshReport.h>
 #include <LibPolicy/RootAdmission.h>
@@ -46,7 +47,7 @@
         for (int i = 0; i < static_cast<int>(offered); ++i) {
             const auto share = shares.find(load.name);
             const double taken = share == shares.end() ? 1.0 : share->second;
-            admitted += admitRoot(gate, load.name, taken) ? 1.0 : 0.0;
+            admitted += admitRoot(gate, {load.name, "front"}, taken) ? 1.0 : 0.0;
         }
         std::deque<double> &onTheWay = underWay[load.name];
         onTheWay.push_back(admitted);
@@ -194,7 +195,7 @@
     const auto admittedOf = [&](int requests, double share) {
         int admitted = 0;
         for (int i = 0; i < requests; ++i)
-            admitted += admitRoot(gate, "browse", share) ? 1 : 0;
+            admitted += admitRoot(gate, {"browse", "front"}, share) ? 1 : 0;
         return admitted;
     };
     CHECK(admittedOf(100, 1.0) == 100);
@@ -204,6 +205,29 @@
     CHECK(admittedOf(100, 0.02) <= 4);
 }
 
+TEST_CASE("The services of a route keep their weights behind a gate")
+{
+    Route route;
+    route.name = "order";
+    route.shares = {{"ledger", 0.75}, {"lookup", 0.25}};
+    for (const double share : {0.25, 0.5, 0.75, 0.9}) {
+        CAPTURE(share);
+        ShareCounters shares;
+        RootGate gate;
+        int admitted = 0;
+        int ofLedger = 0;
+        for (int i = 0; i < 1'000; ++i) {
+            const std::string service = shares.next(route);
+            if (!admitRoot(gate, {route.name, service}, share))
+                continue;
+            ++admitted;
+            ofLedger += service == "ledger" ? 1 : 0;
+        }
+        CHECK(admitted == doctest::Approx(1'000 * share).epsilon(0.02));
+        CHECK(ofLedger == doctest::Approx(0.75 * admitted).epsilon(0.02));
+    }
+}
+
 TEST_CASE("Who was refused is told a time within the objective")
 {
     const Milliseconds objective{1'000};
