--- a/Libraries/LibPolicy/RootAdmission.h
+++ b/Libraries/LibPolicy/RootAdmission.h
@@ -4,12 +4,11 @@
 #include <LibCore/Clock.h>
 #include <LibNode/MeshPressure.h>
 
-#include <compare>
 #include <cstddef>
 #include <map>
 #include <string>
 #include <string_view>
-#include <utility>
+#include <tuple>
 
 /// How many of callers' new requests the mesh takes on. Each kind of request is charged with the
 /// slot time that its trees of calls took at every service; what is offered is then fitted into
@@ -98,7 +97,10 @@
         std::string kind;
         std::string service;
 
-        auto operator<=>(const Part &) const = default;
+        bool operator<(const Part &other) const
+        {
+            return std::tie(kind, service) < std::tie(other.kind, other.service);
+        }
     };
 
     std::map<Part, double> credits; ///< Requests ahead of the share.
