Policy: Work out unattributed work once for each service

It was summed over all kinds again for each kind and service, at every summary of a collector. Two constants of 1.0 that changed nothing are gone, one of them with a comment that no longer held. Shares stay the same: TestLibPolicy (21 cases) passes unchanged.

--- a/Libraries/LibPolicy/RootAdmission.cpp
+++ b/Libraries/LibPolicy/RootAdmission.cpp
@@ -22,17 +22,13 @@
 /// The wait at which the room of a service is taken for none, in seconds; damps the estimate's
 /// errors within the time that a tree of calls takes.
 constexpr double longestWait = 0.8;
-/// Of the slots of a service that are filled on purpose; the rest takes what swings within the time
-/// of a report.
-constexpr double filledPart = 1.0;
 /// Room that is left to a service however long work waits there.
 constexpr double leastRoom = 0.2;
 /// Of each kind, so that a change is seen.
 constexpr double leastShare = 0.02;
-/// Trees in flight are bounded to those that end within this part of their objective, or within
-/// somewhat more than the time that they take without a queue where that is longer. The work of a
-/// tree is seen when it ends; the bound keeps what has begun from growing until then.
-constexpr double objectivePart = 1.0;
+/// Trees in flight are bounded to those that end within their objective, or within this multiple of
+/// the time that they take without a queue where that is longer. The work of a tree is seen when it
+/// ends; the bound keeps what has begun from growing until then.
 constexpr double latencySlack = 1.3;
 /// From the bound to this multiple of it the share falls to the least.
 constexpr double brakeWidth = 0.5;
@@ -78,17 +74,21 @@
     return from == to || (found != services.end() && found->second.servicesBelow.contains(to));
 }
 
-/// Work that no kind is known for is spread evenly over the requests that lead there.
-double unknownWorkOfEach(const RootLedger &ledger, const std::string &service, double work,
+/// Work that no kind is known for, for each request that leads to the service: it is spread evenly.
+double unknownWorkOfEach(const RootLedger &ledger, const std::string &service,
+                         const RootLedger::WorkSums &work,
                          const std::map<std::string, ServicePressure, std::less<>> &services,
                          TimePoint now)
 {
+    const auto unknown = work.find(std::string_view());
+    if (unknown == work.end())
+        return 0.0;
     double requests = 0.0;
     for (const auto &[kind, entry] : ledger.kinds) {
         if (leadsTo(services, entry.service, service))
             requests += faded(entry.admitted, costTime, now);
     }
-    return requests < leastSample ? 0.0 : work / requests;
+    return requests < leastSample ? 0.0 : faded(unknown->second, costTime, now) / requests;
 }
 
 void noteInFlight(Demand &demand, const RootLedger::KindEntry &entry, TimePoint now)
@@ -101,13 +101,16 @@
         if (node.fastLatency > 0.0)
             fastest = fastest == 0.0 ? node.fastLatency : std::min(fastest, node.fastLatency);
     }
-    demand.allowedTime = std::max(objectivePart * entry.objective, latencySlack * fastest);
+    demand.allowedTime = std::max(entry.objective, latencySlack * fastest);
 }
 
 std::vector<Demand> demandsOf(const RootLedger &ledger,
                               const std::map<std::string, ServicePressure, std::less<>> &services,
                               TimePoint now)
 {
+    std::map<std::string_view, double> unknownOfEach; // By service.
+    for (const auto &[service, work] : ledger.work)
+        unknownOfEach[service] = unknownWorkOfEach(ledger, service, work, services, now);
     std::vector<Demand> demands;
     for (const auto &[kind, entry] : ledger.kinds) {
         Demand demand;
@@ -120,10 +123,9 @@
             const auto own = byKind.find(kind);
             if (own != byKind.end() && admitted >= leastSample)
                 demand.cost[service] = faded(own->second, costTime, now) / admitted;
-            const auto unknown = byKind.find(std::string_view());
-            if (unknown != byKind.end() && leadsTo(services, entry.service, service))
-                demand.cost[service] += unknownWorkOfEach(
-                        ledger, service, faded(unknown->second, costTime, now), services, now);
+            const double unknown = unknownOfEach.at(service);
+            if (unknown > 0.0 && leadsTo(services, entry.service, service))
+                demand.cost[service] += unknown;
         }
         demands.push_back(std::move(demand));
     }
@@ -132,7 +134,7 @@
 
 double capacityOf(const ServiceRoom &room)
 {
-    return filledPart * room.slots * std::clamp(1.0 - room.wait / longestWait, leastRoom, 1.0);
+    return room.slots * std::clamp(1.0 - room.wait / longestWait, leastRoom, 1.0);
 }
 
 using Load = std::map<std::string_view, double>;
