Node: Log what a stopping node gives up

Each request that is given up at the drain timeout now leaves a decision line (event=given-up) with the time between the stop and its arrival and whether its connection was kept or new. The counts that a stop waits for have names and are logged when it begins and when it runs out of time. A node that has drained says how many responses and link bytes had not left. What waits in the decision log is written once more at the end of the process. No decision changes.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -68,9 +68,11 @@
 
 } // namespace
 
-HttpExchange::HttpExchange(evhttp_request *request, std::shared_ptr<const bool> closesAfter)
+HttpExchange::HttpExchange(evhttp_request *request, std::shared_ptr<const bool> closesAfter,
+                           ConnectionUse connectionUse)
     : request_(request)
     , closesAfter_(std::move(closesAfter))
+    , connectionUse_(connectionUse)
 {
     evhttp_connection *connection = evhttp_request_get_connection(request);
     bufferevent *buffer = evhttp_connection_get_bufferevent(connection);
@@ -208,13 +210,39 @@
                          [](const auto &entry) { return entry.second->isReceiving; });
 }
 
-void HttpServer::handle(evhttp_request *request)
+std::size_t HttpServer::unanswered()
+{
+    releaseClosed();
+    return std::count_if(connections_.begin(), connections_.end(),
+                         [](const auto &entry) { return entry.second->isUnanswered; });
+}
+
+HttpServer::Connection *HttpServer::connectionOf(evhttp_request *request)
 {
     evhttp_connection *connection = evhttp_request_get_connection(request);
     const auto found = connections_.find(evhttp_connection_get_bufferevent(connection));
-    if (found != connections_.end())
-        found->second->isReceiving = false;
-    handler_(readRequest(request), std::make_shared<HttpExchange>(request, closesAfter_));
+    return found == connections_.end() ? nullptr : found->second.get();
+}
+
+void HttpServer::handle(evhttp_request *request)
+{
+    auto use = HttpExchange::ConnectionUse::First;
+    if (Connection *connection = connectionOf(request)) {
+        connection->isReceiving = false;
+        connection->isUnanswered = true;
+        use = std::exchange(connection->use, HttpExchange::ConnectionUse::Reused);
+    }
+    const auto onSent = [](evhttp_request *sent, void *argument) {
+        static_cast<HttpServer *>(argument)->handleResponseSent(sent);
+    };
+    evhttp_request_set_on_complete_cb(request, onSent, this);
+    handler_(readRequest(request), std::make_shared<HttpExchange>(request, closesAfter_, use));
+}
+
+void HttpServer::handleResponseSent(evhttp_request *request)
+{
+    if (Connection *connection = connectionOf(request))
+        connection->isUnanswered = false;
 }
 
 Result<std::unique_ptr<HttpServer>> HttpServer::listen(EventLoop &loop, const Endpoint &endpoint,
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -6,6 +6,7 @@
 #include <LibSettings/Settings.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -24,8 +25,14 @@
 class HttpExchange
 {
 public:
+    enum class ConnectionUse : std::uint8_t {
+        First,
+        Reused, ///< An earlier request came on the same connection.
+    };
+
     /// `closesAfter` is shared with the server and read when the response is sent.
-    HttpExchange(evhttp_request *request, std::shared_ptr<const bool> closesAfter);
+    HttpExchange(evhttp_request *request, std::shared_ptr<const bool> closesAfter,
+                 ConnectionUse connectionUse);
     ~HttpExchange();
     HttpExchange(const HttpExchange &) = delete;
     HttpExchange &operator=(const HttpExchange &) = delete;
@@ -37,6 +44,11 @@
     /// repeated.
     void writeRaw(std::string_view bytes);
 
+    [[nodiscard]] bool isConnectionReused() const
+    {
+        return connectionUse_ == ConnectionUse::Reused;
+    }
+
     /// Closes the connection without a response.
     void abandon();
 
@@ -48,6 +60,7 @@
 
     evhttp_request *request_ = nullptr;
     std::shared_ptr<const bool> closesAfter_;
+    ConnectionUse connectionUse_;
     event *closed_ = nullptr;
     std::function<void()> peerGone_;
 };
@@ -69,6 +82,9 @@
     /// Requests of which some bytes have come and others have not. The handler has not seen them.
     [[nodiscard]] std::size_t receiving();
 
+    /// Requests that the handler has seen and whose whole response has not been sent.
+    [[nodiscard]] std::size_t unanswered();
+
     /// Accepts no more connections; those that are open go on.
     void stopAccepting();
 
@@ -89,11 +105,15 @@
         bufferevent *handle = nullptr; ///< Referenced, so that it never dangles.
         evbuffer_cb_entry *watch = nullptr;
         bool isReceiving = false;
+        bool isUnanswered = false;
+        HttpExchange::ConnectionUse use = HttpExchange::ConnectionUse::First;
     };
 
     bufferevent *addConnection();
     void releaseClosed();
     void handle(evhttp_request *request);
+    void handleResponseSent(evhttp_request *request);
+    [[nodiscard]] Connection *connectionOf(evhttp_request *request);
 
     evhttp *server_ = nullptr;
     evhttp_bound_socket *socket_ = nullptr;
--- a/Libraries/LibKernel/DecisionLog.h
+++ b/Libraries/LibKernel/DecisionLog.h
@@ -31,6 +31,9 @@
     /// Whether a line of this weight would be taken now, so that it need not be composed.
     [[nodiscard]] bool takes(LineWeight weight);
 
+    /// Writes as much of what waits as the descriptor takes now.
+    void flush();
+
     /// Bytes that wait to be written.
     [[nodiscard]] std::size_t pendingBytes() const { return pending_.size(); }
 
@@ -43,7 +46,6 @@
         TimePoint lastRefill;
     };
 
-    void flush();
     void refill(Rate &rate) const;
 
     const Clock &clock_;
--- a/Libraries/LibKernel/Kernel.cpp
+++ b/Libraries/LibKernel/Kernel.cpp
@@ -28,19 +28,30 @@
     return whole;
 }
 
-void Kernel::addInFlight(std::function<std::size_t()> count)
+void Kernel::addInFlight(std::string name, std::function<std::size_t()> count)
 {
-    inFlight_.push_back(std::move(count));
+    inFlight_.push_back({std::move(name), std::move(count)});
 }
 
 std::size_t Kernel::inFlight() const
 {
     std::size_t sum = 0;
-    for (const auto &count : inFlight_)
-        sum += count();
+    for (const InFlightCount &part : inFlight_)
+        sum += part.count();
     return sum;
 }
 
+std::string Kernel::describeInFlight() const
+{
+    std::string text;
+    for (const InFlightCount &part : inFlight_) {
+        const std::size_t count = part.count();
+        if (count != 0)
+            text += (text.empty() ? "" : " ") + part.name + "=" + std::to_string(count);
+    }
+    return text;
+}
+
 void Kernel::run()
 {
     for (const TaskPlugin &plugin : Registry<TaskPlugin>::all()) {
@@ -50,6 +61,7 @@
     for (const auto &task : tasks_)
         task->start();
     loop_.run();
+    decisions_.flush();
     tasks_.clear();
 }
 
--- a/Libraries/LibKernel/Kernel.h
+++ b/Libraries/LibKernel/Kernel.h
@@ -62,9 +62,11 @@
     void addStatus(std::string section, std::function<nlohmann::json()> report);
     [[nodiscard]] nlohmann::json status() const;
 
-    /// Adds a count of what a planned stop must wait for.
-    void addInFlight(std::function<std::size_t()> count);
+    /// Adds a count of what a planned stop must wait for, under a name for the logs.
+    void addInFlight(std::string name, std::function<std::size_t()> count);
     [[nodiscard]] std::size_t inFlight() const;
+    /// The counts that are not 0, as `name=count` pairs.
+    [[nodiscard]] std::string describeInFlight() const;
 
     /// Creates every registered task that the settings want, starts them and runs until the loop
     /// stops.
@@ -78,7 +80,12 @@
     DecisionLog decisions_{loop_, clock_, 1}; // Standard output.
     std::shared_ptr<prometheus::Registry> metrics_;
     std::map<std::string, std::function<nlohmann::json()>> status_;
-    std::vector<std::function<std::size_t()>> inFlight_;
+    struct InFlightCount
+    {
+        std::string name;
+        std::function<std::size_t()> count;
+    };
+    std::vector<InFlightCount> inFlight_;
     std::vector<std::unique_ptr<Task>> tasks_;
 };
 
--- a/Libraries/LibNode/DecisionLines.cpp
+++ b/Libraries/LibNode/DecisionLines.cpp
@@ -34,6 +34,10 @@
         line.append(" share=").append(std::to_string(*inputs.share).substr(0, 4));
     if (inputs.load)
         line.append(loadFields(*inputs.load));
+    if (inputs.sinceStop)
+        line.append(" since_stop=").append(std::to_string(inputs.sinceStop->count()));
+    if (inputs.isConnectionReused)
+        line.append(*inputs.isConnectionReused ? " connection=kept" : " connection=new");
     if (!inputs.target.empty())
         line.append(" target=").append(inputs.target);
     if (result.has_value())
--- a/Libraries/LibNode/DecisionLines.h
+++ b/Libraries/LibNode/DecisionLines.h
@@ -14,7 +14,8 @@
 /// The inputs of a decision besides the call itself.
 struct DecisionInputs
 {
-    std::string_view event; ///< "request" at the entry node, "run" at the target's node.
+    /// "request" at the entry node, "run" at the target's node, "given-up" at the entry node.
+    std::string_view event;
     std::chrono::nanoseconds duration{0};
     std::uint64_t configuration = 0; ///< Active version; 0 if the decision did not use it.
     double pressure = 0.0;           ///< Below the service for "request", of the target for "run".
@@ -22,6 +23,9 @@
     std::optional<TargetLoad> load;  ///< Of the local target, for "run".
     Milliseconds left{0};            ///< Time to the deadline when the line is written.
     std::optional<double> share;     ///< Admitted share of the call's kind, for "request".
+    /// When the request came, from the beginning of the planned stop; for "given-up".
+    std::optional<Milliseconds> sinceStop = {};
+    std::optional<bool> isConnectionReused = {}; ///< For "given-up".
 };
 
 [[nodiscard]] std::string decisionLine(const Call &call, const Judged<Answer> &result,
--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -163,6 +163,11 @@
 struct StopRequested
 {};
 
+/// The drain timeout is over, or a second signal came. The process exits after this message; calls
+/// in flight get no answer.
+struct DrainExpired
+{};
+
 /// No call is in flight any more; the process may exit.
 struct Drained
 {};
--- a/Services/ChiveRouter/NodeCommand.cpp
+++ b/Services/ChiveRouter/NodeCommand.cpp
@@ -45,9 +45,11 @@
 
     void abandon(std::string_view cause)
     {
-        LOG(WARNING) << "event=stopped-before-drained cause=\"" << cause << '"';
+        LOG(WARNING) << "event=stopped-before-drained cause=\"" << cause << "\" "
+                     << kernel_.describeInFlight();
         exitCode_ = ExitCode::Failed;
-        kernel_.loop().stop();
+        kernel_.bus().post(DrainExpired{});
+        kernel_.loop().post([this] { kernel_.loop().stop(); });
     }
 
     Kernel &kernel_;
--- a/Services/Node/DrainTask.cpp
+++ b/Services/Node/DrainTask.cpp
@@ -38,7 +38,8 @@
     {
         if (timer_.isActive())
             return;
-        LOG(INFO) << "task=drain event=begin in_flight=" << kernel_.inFlight();
+        LOG(INFO) << "task=drain event=begin in_flight=" << kernel_.inFlight() << ' '
+                  << kernel_.describeInFlight();
         startedAt_ = kernel_.clock().now();
         timer_ = kernel_.loop().every(checkInterval, [this] { check(); });
     }
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -44,8 +44,13 @@
                 [this](const RunEnded &ended) { runningCalls_.erase(ended.requestId); });
         kernel.bus().subscribe<CallRouted>([this](const CallRouted &routed) { finish(routed); });
         kernel.bus().subscribe<StopRequested>([this](const StopRequested &) { stop(); });
-        kernel.addInFlight(
-                [this] { return openRequests_.size() + (server_ ? server_->receiving() : 0); });
+        kernel.bus().subscribe<DrainExpired>([this](const DrainExpired &) { noteGivenUp(); });
+        kernel.bus().subscribe<Drained>([this](const Drained &) {
+            LOG(INFO) << "task=entry event=drained unanswered=" << server_->unanswered();
+        });
+        kernel.addInFlight("requests", [this] { return openRequests_.size(); });
+        kernel.addInFlight("requests_receiving",
+                           [this] { return server_ ? server_->receiving() : 0; });
     }
 
     void start() override
@@ -198,10 +203,29 @@
                 dialect_.responseFor(routed.outcome.result, request.call->requestId));
     }
 
+    /// Logs the requests that end without an answer because this node does.
+    void noteGivenUp()
+    {
+        for (const auto &[token, request] : openRequests_) {
+            const TimePoint now = kernel_.clock().now();
+            DecisionInputs inputs;
+            inputs.event = "given-up";
+            inputs.duration = now - request.receivedAt;
+            inputs.configuration = catalogue_->version;
+            inputs.left = std::chrono::floor<Milliseconds>(request.call->deadline - now);
+            inputs.sinceStop
+                    = std::chrono::floor<Milliseconds>(request.receivedAt - stopRequestedAt_);
+            inputs.isConnectionReused = request.exchange->isConnectionReused();
+            logDecision(kernel_.decisions(), *request.call,
+                        mayHaveRun(Reason::Cancelled, "the node stopped first"), inputs);
+        }
+    }
+
     /// Callers that poll readiness keep sending until they have seen that this node is not ready,
     /// so the node accepts connections until then.
     void stop()
     {
+        stopRequestedAt_ = kernel_.clock().now();
         server_->closeAfterResponses();
         if (!kernel_.settings().ready) {
             server_->stopAccepting();
@@ -217,6 +241,7 @@
     ShareCounters shares_;
     std::shared_ptr<const MeshPressure> meshPressure_ = std::make_shared<const MeshPressure>();
     std::minstd_rand random_{std::random_device{}()};
+    TimePoint stopRequestedAt_;
     Timer stopAcceptingTimer_;
     std::shared_ptr<const Catalogue> catalogue_;
     std::unique_ptr<HttpServer> server_;
--- a/Services/Node/LinkTask.cpp
+++ b/Services/Node/LinkTask.cpp
@@ -49,6 +49,9 @@
             bytesSent_[linkClass] = &bytes.Add({{"class", name}, {"direction", "sent"}});
             bytesReceived_[linkClass] = &bytes.Add({{"class", name}, {"direction", "received"}});
         }
+        kernel.bus().subscribe<Drained>([this](const Drained &) {
+            LOG(INFO) << "task=link event=drained unsent_bytes=" << unsentBytes();
+        });
         kernel.bus().subscribe<SendToPeer>([this](const SendToPeer &frame) { send(frame); });
         kernel.addStatus("links", [this] { return status(); });
     }
@@ -201,6 +204,17 @@
                                     connection.link->hasOpened()});
     }
 
+    /// Bytes of calls and answers that have not left this process.
+    [[nodiscard]] std::size_t unsentBytes() const
+    {
+        std::size_t bytes = 0;
+        for (const auto &[id, connection] : connections_) {
+            if (connection.key && connection.key->linkClass != LinkClass::Control)
+                bytes += connection.link->backlog();
+        }
+        return bytes;
+    }
+
     [[nodiscard]] nlohmann::json status() const
     {
         std::size_t open = 0;
--- a/Services/Node/LocalTarget.cpp
+++ b/Services/Node/LocalTarget.cpp
@@ -31,8 +31,9 @@
             [this](const CatalogueChanged &message) { catalogue_ = message.catalogue; });
     kernel.bus().subscribe<CallRouted>(
             [this](const CallRouted &routed) { finishNestedCall(routed); });
-    kernel.addInFlight(
-            [this] { return nestedCalls_.size() + (server_ ? server_->receiving() : 0); });
+    kernel.addInFlight("nested_calls", [this] { return nestedCalls_.size(); });
+    kernel.addInFlight("nested_calls_receiving",
+                       [this] { return server_ ? server_->receiving() : 0; });
 }
 
 LocalTarget::~LocalTarget() = default;
--- a/Services/Node/OnceTask.cpp
+++ b/Services/Node/OnceTask.cpp
@@ -63,7 +63,7 @@
             if (!target.service.empty())
                 serviceNamed(target.service);
         });
-        kernel.addInFlight([this] { return pendingAppends(); });
+        kernel.addInFlight("log_appends", [this] { return pendingAppends(); });
         kernel.addStatus("once", [this] { return status(); });
     }
 
--- a/Services/Node/PeerCallTask.cpp
+++ b/Services/Node/PeerCallTask.cpp
@@ -23,7 +23,7 @@
                 [this](const ReceivedFromPeer &frame) { handleFrame(frame); });
         kernel.bus().subscribe<CallRan>([this](const CallRan &ran) { handleOutcome(ran); });
         kernel.bus().subscribe<PeerLost>([this](const PeerLost &lost) { handlePeerLost(lost); });
-        kernel.addInFlight([this] { return runningCalls_.size(); });
+        kernel.addInFlight("peer_calls", [this] { return runningCalls_.size(); });
     }
 
     void start() override {}
--- a/Services/Node/RouterTask.cpp
+++ b/Services/Node/RouterTask.cpp
@@ -83,7 +83,7 @@
                 [this](const MembersChanged &changed) { chooser_.setMembers(*changed.members); });
         bus.subscribe<PressureChanged>(
                 [this](const PressureChanged &changed) { chooser_.setMeshPressure(changed.mesh); });
-        kernel.addInFlight([this] { return routedCalls_.size(); });
+        kernel.addInFlight("routed_calls", [this] { return routedCalls_.size(); });
         kernel.addStatus("router", [this] {
             return nlohmann::json{{"calls", routedCalls_.size()},
                                   {"attempts", attempts_.size()},
--- a/Services/Node/TargetTask.cpp
+++ b/Services/Node/TargetTask.cpp
@@ -62,7 +62,7 @@
             handleTargetChanged();
         });
         bus.subscribe<StopRequested>([this](const StopRequested &) { isStopping_ = true; });
-        kernel.addInFlight([this] { return work_.size(); });
+        kernel.addInFlight("target_calls", [this] { return work_.size(); });
         kernel.addStatus("target", [this] { return report(); });
     }
 
