Node: Admit no request during a stop that cannot be finished

What callers saw: a request that was sent long after SIGTERM, on a connection that had been idle, was taken and routed, reached its target, and ended with a closed connection.

Cause: a stopping node had no point in time from which it took no more requests. It closed each connection after its next response, so every idle connection still brought one request, at any time up to the drain timeout, which counts from SIGTERM. The later a request came, the less time it had; the last ones had none. At a crest of the traffic such requests never ceased, so nothing was ever drained.

Change: a stop follows a schedule (DrainSchedule) made when it begins. Requests that begin to arrive after admitsUntil are refused as not run, unless a call that the target is running makes them; every admitted call gets a deadline by which this node must have answered it, which also bounds its wait at other nodes. The same holds at the endpoint for the target's own calls. With readiness checks admission ends when callers have heard of the stop; without them it goes on as long as there is time to finish.

--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -4,6 +4,7 @@
 #include <LibLog/LogPage.h>
 #include <LibLog/StoreProtocol.h>
 #include <LibNode/Call.h>
+#include <LibNode/DrainSchedule.h>
 #include <LibNode/MeshPressure.h>
 #include <LibSettings/Settings.h>
 
@@ -161,7 +162,9 @@
 
 /// Graceful shutdown has begun: announce it, accept no new work and finish the calls in flight.
 struct StopRequested
-{};
+{
+    DrainSchedule schedule;
+};
 
 /// The drain timeout is over, or a second signal came. The process exits after this message; calls
 /// in flight get no answer.
--- a/Services/ChiveRouter/NodeCommand.cpp
+++ b/Services/ChiveRouter/NodeCommand.cpp
@@ -38,7 +38,8 @@
         }
         hasBegun_ = true;
         LOG(INFO) << "event=stop-requested";
-        kernel_.bus().post(StopRequested{});
+        kernel_.bus().post(
+                StopRequested{drainScheduleOf(kernel_.settings(), kernel_.clock().now())});
         limit_ = kernel_.loop().after(kernel_.settings().drainTimeout,
                                       [this] { abandon("drain timeout"); });
     }
--- a/Services/Node/DrainTask.cpp
+++ b/Services/Node/DrainTask.cpp
@@ -10,21 +10,17 @@
 
 namespace {
 
-/// Time within which peers learn that the target is leaving. New calls may arrive until then and
-/// are refused as not run or routed to other nodes.
-constexpr Milliseconds peerNoticePeriod{2'000};
-/// Longer than callers keep sending to a node that reports that it is not ready (see EntryTask).
-constexpr Milliseconds callerNoticePeriod{3'200};
 constexpr Milliseconds checkInterval{20};
 
-/// Completes a planned stop when nothing is in flight and the notice period is over.
+/// Completes a planned stop when the schedule permits it and nothing is in flight.
 class DrainTask final : public Task
 {
 public:
     explicit DrainTask(Kernel &kernel)
         : kernel_(kernel)
     {
-        kernel.bus().subscribe<StopRequested>([this](const StopRequested &) { begin(); });
+        kernel.bus().subscribe<StopRequested>(
+                [this](const StopRequested &stop) { begin(stop.schedule); });
         kernel.addStatus("drain", [this] {
             return nlohmann::json{{"stopping", timer_.isActive()},
                                   {"in_flight", kernel_.inFlight()}};
@@ -34,27 +30,24 @@
     void start() override {}
 
 private:
-    void begin()
+    void begin(const DrainSchedule &schedule)
     {
         if (timer_.isActive())
             return;
         LOG(INFO) << "task=drain event=begin in_flight=" << kernel_.inFlight() << ' '
                   << kernel_.describeInFlight();
-        startedAt_ = kernel_.clock().now();
+        schedule_ = schedule;
         timer_ = kernel_.loop().every(checkInterval, [this] { check(); });
     }
 
     void check()
     {
-        const Milliseconds noticePeriod
-                = kernel_.settings().ready ? callerNoticePeriod : peerNoticePeriod;
-        const bool isNoticeOver = kernel_.clock().now() - startedAt_ >= noticePeriod;
-        if (isNoticeOver && kernel_.inFlight() == 0)
+        if (kernel_.clock().now() >= schedule_.endsFrom && kernel_.inFlight() == 0)
             kernel_.bus().post(Drained{});
     }
 
     Kernel &kernel_;
-    TimePoint startedAt_;
+    DrainSchedule schedule_;
     Timer timer_;
 };
 
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -20,9 +20,6 @@
 
 namespace {
 
-/// Callers poll readiness once a second and treat a node as not ready after two consecutive polls.
-constexpr Milliseconds callerNoticePeriod{3'000};
-
 /// Accepts the requests of callers and responds with complete answers or verdicts.
 class EntryTask final : public Task
 {
@@ -43,7 +40,8 @@
         kernel.bus().subscribe<RunEnded>(
                 [this](const RunEnded &ended) { runningCalls_.erase(ended.requestId); });
         kernel.bus().subscribe<CallRouted>([this](const CallRouted &routed) { finish(routed); });
-        kernel.bus().subscribe<StopRequested>([this](const StopRequested &) { stop(); });
+        kernel.bus().subscribe<StopRequested>(
+                [this](const StopRequested &stop) { beginStop(stop.schedule); });
         kernel.bus().subscribe<DrainExpired>([this](const DrainExpired &) { noteGivenUp(); });
         kernel.bus().subscribe<Drained>([this](const Drained &) {
             LOG(INFO) << "task=entry event=drained unanswered=" << server_->unanswered();
@@ -83,7 +81,12 @@
             refuse(*exchange, call.error(), request);
             return;
         }
-        attachToCallTree(call.value());
+        const CallOrigin origin = attachToCallTree(call.value());
+        if (const auto refusal = reasonToRefuseAtStop(*exchange, origin, call.value(), now)) {
+            noteDecision(call.value(), *refusal, std::chrono::nanoseconds(0));
+            refuse(*exchange, *refusal, request);
+            return;
+        }
         const std::size_t size = bytesOf(request.body).size();
         if (bytesHeld_ + size > kernel_.settings().maximumBytesHeld) {
             refuse(*exchange, memoryLimitVerdict(), request);
@@ -94,6 +97,8 @@
             refuse(*exchange, *refusal, request);
             return;
         }
+        if (schedule_)
+            limitDeadline(*schedule_, call.value());
         bytesHeld_ += size;
         const Token token = nextToken();
         auto shared = std::make_shared<const Call>(std::move(call.value()));
@@ -104,7 +109,7 @@
 
     /// Determines whether the call is the root of a call tree or a nested call, and the kind of its
     /// root. A nested call takes the importance of its parent if that is higher.
-    void attachToCallTree(Call &call)
+    CallOrigin attachToCallTree(Call &call)
     {
         const auto parent = runningCalls_.find(dialect_.parentOf(call.requestId));
         const bool isParentKnown = parent != runningCalls_.end();
@@ -113,10 +118,21 @@
             call.rootKind = call.kind;
         call.treeDraw = std::uniform_real_distribution<double>(0.0, 1.0)(random_);
         if (!isParentKnown)
-            return;
+            return CallOrigin::Caller;
         call.rootKind = parent->second->rootKind;
         call.treeDraw = parent->second->treeDraw;
         call.importance = std::min(call.importance, parent->second->importance);
+        return CallOrigin::RunningCall;
+    }
+
+    [[nodiscard]] std::optional<Verdict> reasonToRefuseAtStop(const HttpExchange &exchange,
+                                                              CallOrigin origin, const Call &call,
+                                                              TimePoint now) const
+    {
+        if (!schedule_)
+            return std::nullopt;
+        const Arrival arrival = exchange.isLate() ? Arrival::Late : Arrival::InTime;
+        return reasonToRefuse(*schedule_, arrival, origin, call, now);
     }
 
     /// Refuses a caller's request when a service that its call tree uses is overloaded. Nested
@@ -223,16 +239,18 @@
 
     /// Callers that poll readiness keep sending until they have seen that this node is not ready,
     /// so the node accepts connections until then.
-    void stop()
+    void beginStop(const DrainSchedule &schedule)
     {
+        schedule_ = schedule;
         stopRequestedAt_ = kernel_.clock().now();
         server_->closeAfterResponses();
-        if (!kernel_.settings().ready) {
+        if (!kernel_.settings().ready)
             server_->stopAccepting();
-            return;
-        }
-        stopAcceptingTimer_
-                = kernel_.loop().after(callerNoticePeriod, [this] { server_->stopAccepting(); });
+        const auto left = std::chrono::ceil<Milliseconds>(schedule.admitsUntil - stopRequestedAt_);
+        admissionTimer_ = kernel_.loop().after(std::max(left, Milliseconds(0)), [this] {
+            server_->stopAccepting();
+            server_->markLateRequests();
+        });
     }
 
     Kernel &kernel_;
@@ -242,7 +260,8 @@
     std::shared_ptr<const MeshPressure> meshPressure_ = std::make_shared<const MeshPressure>();
     std::minstd_rand random_{std::random_device{}()};
     TimePoint stopRequestedAt_;
-    Timer stopAcceptingTimer_;
+    std::optional<DrainSchedule> schedule_; ///< Set once a planned stop has begun.
+    Timer admissionTimer_;
     std::shared_ptr<const Catalogue> catalogue_;
     std::unique_ptr<HttpServer> server_;
     std::map<Token, OpenRequest> openRequests_;
--- a/Services/Node/LocalTarget.cpp
+++ b/Services/Node/LocalTarget.cpp
@@ -31,6 +31,8 @@
             [this](const CatalogueChanged &message) { catalogue_ = message.catalogue; });
     kernel.bus().subscribe<CallRouted>(
             [this](const CallRouted &routed) { finishNestedCall(routed); });
+    kernel.bus().subscribe<StopRequested>(
+            [this](const StopRequested &stop) { beginStop(stop.schedule); });
     kernel.addInFlight("nested_calls", [this] { return nestedCalls_.size(); });
     kernel.addInFlight("nested_calls_receiving",
                        [this] { return server_ ? server_->receiving() : 0; });
@@ -184,6 +186,21 @@
         exchange->respond(dialect_.responseFor(contextId.error(), nested.requestId));
         return;
     }
+    if (schedule_) {
+        const auto refusal = reasonToRefuse(
+                *schedule_, exchange->isLate() ? Arrival::Late : Arrival::InTime,
+                contextId.value().empty() ? CallOrigin::Caller : CallOrigin::RunningCall, nested,
+                kernel_.clock().now());
+        if (refusal) {
+            CallOutcome outcome;
+            outcome.result = *refusal;
+            outcome.unspent = nested.allowance;
+            contexts_.endNestedCall(contextId.value(), nested.allowance, outcome);
+            exchange->respond(dialect_.responseFor(*refusal, nested.requestId));
+            return;
+        }
+        limitDeadline(*schedule_, nested);
+    }
     const Token token = nextToken();
     auto shared = std::make_shared<const Call>(std::move(nested));
     nestedCalls_.emplace(token, NestedCall{exchange, shared, std::move(contextId.value())});
@@ -191,6 +208,14 @@
     kernel_.bus().post(RouteCall{token, std::move(shared)});
 }
 
+void LocalTarget::beginStop(const DrainSchedule &schedule)
+{
+    schedule_ = schedule;
+    const auto left = std::chrono::ceil<Milliseconds>(schedule.admitsUntil - kernel_.clock().now());
+    admissionTimer_ = kernel_.loop().after(std::max(left, Milliseconds(0)),
+                                           [this] { server_->markLateRequests(); });
+}
+
 void LocalTarget::finishNestedCall(const CallRouted &routed)
 {
     const auto found = nestedCalls_.find(routed.token);
--- a/Services/Node/LocalTarget.h
+++ b/Services/Node/LocalTarget.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,7 @@
     HttpResponse handleAnnouncement(const HttpRequest &request);
     void routeNestedCall(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange);
     void finishNestedCall(const CallRouted &routed);
+    void beginStop(const DrainSchedule &schedule);
     void checkLease();
     void applyAnnouncement(const Announcement &announcement);
     void applyDeparture(const std::string &targetId);
@@ -81,6 +83,8 @@
     TimePoint announcedAt_;
     Timer leaseTimer_;
     std::map<Token, NestedCall> nestedCalls_;
+    std::optional<DrainSchedule> schedule_; ///< Set once a planned stop has begun.
+    Timer admissionTimer_;
 };
 
 } // namespace chive
