Node: Give calls in flight a verdict before a stop runs out of time

What callers would see: a request that is in flight at the drain timeout ends with a closed connection, and a call that came from another node with a lost link, although this node knows whether it was sent to its target.

Cause: at the drain timeout the process ended at once. Nothing told the tasks that own the calls.

Change: at DrainSchedule::answersBy, shortly before the process ends, the calls of callers, of the target and of other nodes are cancelled with the reason "leaving", and their verdicts leave as usual.

--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -58,6 +58,7 @@
 struct CancelCall
 {
     Token token = 0;
+    Reason reason = Reason::Cancelled;
 };
 
 // Links between nodes.
@@ -166,8 +167,7 @@
     DrainSchedule schedule;
 };
 
-/// The drain timeout is over, or a second signal came. The process exits after this message; calls
-/// in flight get no answer.
+/// The time for calls in flight is over (DrainSchedule::answersBy): each gets its verdict now.
 struct DrainExpired
 {};
 
--- a/Services/ChiveRouter/NodeCommand.cpp
+++ b/Services/ChiveRouter/NodeCommand.cpp
@@ -49,8 +49,7 @@
         LOG(WARNING) << "event=stopped-before-drained cause=\"" << cause << "\" "
                      << kernel_.describeInFlight();
         exitCode_ = ExitCode::Failed;
-        kernel_.bus().post(DrainExpired{});
-        kernel_.loop().post([this] { kernel_.loop().stop(); });
+        kernel_.loop().stop();
     }
 
     Kernel &kernel_;
--- a/Services/Node/DrainTask.cpp
+++ b/Services/Node/DrainTask.cpp
@@ -4,6 +4,7 @@
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <memory>
 
 namespace chive {
@@ -12,7 +13,8 @@
 
 constexpr Milliseconds checkInterval{20};
 
-/// Completes a planned stop when the schedule permits it and nothing is in flight.
+/// Completes a planned stop when the schedule permits it and nothing is in flight, and ends what is
+/// still in flight when its time is over.
 class DrainTask final : public Task
 {
 public:
@@ -37,9 +39,18 @@
         LOG(INFO) << "task=drain event=begin in_flight=" << kernel_.inFlight() << ' '
                   << kernel_.describeInFlight();
         schedule_ = schedule;
+        const auto left
+                = std::chrono::ceil<Milliseconds>(schedule.answersBy - kernel_.clock().now());
+        expiryTimer_ = kernel_.loop().after(std::max(left, Milliseconds(0)), [this] { expire(); });
         timer_ = kernel_.loop().every(checkInterval, [this] { check(); });
     }
 
+    void expire()
+    {
+        LOG(WARNING) << "task=drain event=expired " << kernel_.describeInFlight();
+        kernel_.bus().post(DrainExpired{});
+    }
+
     void check()
     {
         if (kernel_.clock().now() >= schedule_.endsFrom && kernel_.inFlight() == 0)
@@ -49,6 +60,7 @@
     Kernel &kernel_;
     DrainSchedule schedule_;
     Timer timer_;
+    Timer expiryTimer_;
 };
 
 const Registration<TaskPlugin> registration{TaskPlugin{
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -42,7 +42,7 @@
         kernel.bus().subscribe<CallRouted>([this](const CallRouted &routed) { finish(routed); });
         kernel.bus().subscribe<StopRequested>(
                 [this](const StopRequested &stop) { beginStop(stop.schedule); });
-        kernel.bus().subscribe<DrainExpired>([this](const DrainExpired &) { noteGivenUp(); });
+        kernel.bus().subscribe<DrainExpired>([this](const DrainExpired &) { giveUp(); });
         kernel.bus().subscribe<Drained>([this](const Drained &) {
             LOG(INFO) << "task=entry event=drained unanswered=" << server_->unanswered();
         });
@@ -219,8 +219,8 @@
                 dialect_.responseFor(routed.outcome.result, request.call->requestId));
     }
 
-    /// Logs the requests that end without an answer because this node does.
-    void noteGivenUp()
+    /// Ends the requests in flight with a verdict, as this node stops before their answers come.
+    void giveUp()
     {
         for (const auto &[token, request] : openRequests_) {
             const TimePoint now = kernel_.clock().now();
@@ -233,7 +233,8 @@
                     = std::chrono::floor<Milliseconds>(request.receivedAt - stopRequestedAt_);
             inputs.isConnectionReused = request.exchange->isConnectionReused();
             logDecision(kernel_.decisions(), *request.call,
-                        mayHaveRun(Reason::Cancelled, "the node stopped first"), inputs);
+                        mayHaveRun(Reason::Leaving, "the node stops first"), inputs);
+            kernel_.bus().post(CancelCall{token, Reason::Leaving});
         }
     }
 
--- a/Services/Node/LocalTarget.cpp
+++ b/Services/Node/LocalTarget.cpp
@@ -33,6 +33,10 @@
             [this](const CallRouted &routed) { finishNestedCall(routed); });
     kernel.bus().subscribe<StopRequested>(
             [this](const StopRequested &stop) { beginStop(stop.schedule); });
+    kernel.bus().subscribe<DrainExpired>([this](const DrainExpired &) {
+        for (const auto &[token, nested] : nestedCalls_)
+            kernel_.bus().post(CancelCall{token, Reason::Leaving});
+    });
     kernel.addInFlight("nested_calls", [this] { return nestedCalls_.size(); });
     kernel.addInFlight("nested_calls_receiving",
                        [this] { return server_ ? server_->receiving() : 0; });
--- a/Services/Node/PeerCallTask.cpp
+++ b/Services/Node/PeerCallTask.cpp
@@ -22,6 +22,10 @@
         kernel.bus().subscribe<ReceivedFromPeer>(
                 [this](const ReceivedFromPeer &frame) { handleFrame(frame); });
         kernel.bus().subscribe<CallRan>([this](const CallRan &ran) { handleOutcome(ran); });
+        kernel.bus().subscribe<DrainExpired>([this](const DrainExpired &) {
+            for (const auto &[token, origin] : runningCalls_)
+                kernel_.bus().post(CancelCall{token, Reason::Leaving});
+        });
         kernel.bus().subscribe<PeerLost>([this](const PeerLost &lost) { handlePeerLost(lost); });
         kernel.addInFlight("peer_calls", [this] { return runningCalls_.size(); });
     }
--- a/Services/Node/RouterTask.cpp
+++ b/Services/Node/RouterTask.cpp
@@ -67,7 +67,7 @@
     {
         Bus &bus = kernel.bus();
         bus.subscribe<RouteCall>([this](const RouteCall &message) { begin(message); });
-        bus.subscribe<CancelCall>([this](const CancelCall &message) { cancel(message.token); });
+        bus.subscribe<CancelCall>([this](const CancelCall &message) { cancel(message); });
         bus.subscribe<CallRan>(
                 [this](const CallRan &ran) { handleOutcome(ran.token, ran.outcome); });
         bus.subscribe<ReceivedFromPeer>([this](const ReceivedFromPeer &frame) {
@@ -277,10 +277,10 @@
 
     void expire(Token token) { abandon(token, Reason::DeadlineExceeded); }
 
-    void cancel(Token token)
+    void cancel(const CancelCall &message)
     {
-        if (routedCalls_.count(token) != 0)
-            abandon(token, Reason::Cancelled);
+        if (routedCalls_.count(message.token) != 0)
+            abandon(message.token, message.reason);
     }
 
     void abandon(Token token, Reason reason)
--- a/Services/Node/TargetTask.cpp
+++ b/Services/Node/TargetTask.cpp
@@ -50,7 +50,7 @@
                        << kernel.settings().admissionPolicy << "'\"";
         Bus &bus = kernel.bus();
         bus.subscribe<RunCall>([this](const RunCall &message) { handleRunCall(message); });
-        bus.subscribe<CancelCall>([this](const CancelCall &message) { cancelWork(message.token); });
+        bus.subscribe<CancelCall>([this](const CancelCall &message) { cancelWork(message); });
         bus.subscribe<PermissionDecided>(
                 [this](const PermissionDecided &decided) { handlePermission(decided); });
         bus.subscribe<QuarantineChanged>([this](const QuarantineChanged &changed) {
@@ -304,18 +304,17 @@
                        mayHaveRun(Reason::DeadlineExceeded, "the target did not answer in time"));
     }
 
-    /// Ends the call because the caller no longer wants the answer.
-    void cancelWork(Token token)
+    void cancelWork(const CancelCall &message)
     {
-        const auto found = work_.find(token);
+        const auto found = work_.find(message.token);
         if (found == work_.end())
             return;
         if (found->second.stage == Stage::Running)
-            abandonRunning(token, mayHaveRun(Reason::Cancelled));
+            abandonRunning(message.token, mayHaveRun(message.reason));
         else if (found->second.stage == Stage::ConnectionLost)
-            finish(token, mayHaveRun(Reason::Cancelled));
+            finish(message.token, mayHaveRun(message.reason));
         else
-            finish(token, notRun(Reason::Cancelled));
+            finish(message.token, notRun(message.reason));
     }
 
     /// Ends a running call without waiting for the target. Closing the connection cancels it there.
