Node: Count responses that have not left as in flight

What callers would see: an answer that had been handed to the HTTP library or to a link is cut short when the process ends, because its reader is slow or because the process drained in that moment.

Cause: a request left the count of what a stop waits for when its response was handed over, not when its last byte had left. Besides, a request could be read between the check that nothing is in flight and the end of the loop.

Change: a server counts a request until its whole response has left, links count the bytes of calls and answers that wait, and the end of the process checks the count once more.

--- a/Services/ChiveRouter/NodeCommand.cpp
+++ b/Services/ChiveRouter/NodeCommand.cpp
@@ -20,7 +20,8 @@
         kernel.loop().onSignal(SIGTERM, [this] { handleSignal(); });
         kernel.loop().onSignal(SIGINT, [this] { handleSignal(); });
         kernel.bus().subscribe<Drained>([this](const Drained &) {
-            if (!hasBegun_)
+            // A request may have come since the message was posted.
+            if (!hasBegun_ || kernel_.inFlight() != 0)
                 return;
             LOG(INFO) << "event=drained";
             kernel_.loop().stop();
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -43,10 +43,8 @@
         kernel.bus().subscribe<StopRequested>(
                 [this](const StopRequested &stop) { beginStop(stop.schedule); });
         kernel.bus().subscribe<DrainExpired>([this](const DrainExpired &) { giveUp(); });
-        kernel.bus().subscribe<Drained>([this](const Drained &) {
-            LOG(INFO) << "task=entry event=drained unanswered=" << server_->unanswered();
-        });
         kernel.addInFlight("requests", [this] { return openRequests_.size(); });
+        kernel.addInFlight("responses", [this] { return server_ ? server_->unanswered() : 0; });
         kernel.addInFlight("requests_receiving",
                            [this] { return server_ ? server_->receiving() : 0; });
     }
--- a/Services/Node/LinkTask.cpp
+++ b/Services/Node/LinkTask.cpp
@@ -49,9 +49,7 @@
             bytesSent_[linkClass] = &bytes.Add({{"class", name}, {"direction", "sent"}});
             bytesReceived_[linkClass] = &bytes.Add({{"class", name}, {"direction", "received"}});
         }
-        kernel.bus().subscribe<Drained>([this](const Drained &) {
-            LOG(INFO) << "task=link event=drained unsent_bytes=" << unsentBytes();
-        });
+        kernel.addInFlight("link_bytes", [this] { return unsentBytes(); });
         kernel.bus().subscribe<SendToPeer>([this](const SendToPeer &frame) { send(frame); });
         kernel.addStatus("links", [this] { return status(); });
     }
--- a/Services/Node/LocalTarget.cpp
+++ b/Services/Node/LocalTarget.cpp
@@ -38,6 +38,8 @@
             kernel_.bus().post(CancelCall{token, Reason::Leaving});
     });
     kernel.addInFlight("nested_calls", [this] { return nestedCalls_.size(); });
+    kernel.addInFlight("nested_call_responses",
+                       [this] { return server_ ? server_->unanswered() : 0; });
     kernel.addInFlight("nested_calls_receiving",
                        [this] { return server_ ? server_->receiving() : 0; });
 }
