deploy: End the drain by the grace time of the deployment

What callers would see on a deployment that allows more than 6 s between SIGTERM and SIGKILL: long requests are cut 5.2 s after SIGTERM, although there is time to finish them; with less than 5.2 s the process is killed in the middle of its drain.

Cause: the template of the settings held a drain timeout of 5.2 s, worked out for a grace time of 6 s. The platform tells the grace time in the settings.

Change: the setting limits.stop_grace_s gives the time between SIGTERM and SIGKILL, and the drain ends 0.4 s before it.

--- a/Libraries/LibSettings/ParseSettings.cpp
+++ b/Libraries/LibSettings/ParseSettings.cpp
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace chive {
@@ -14,6 +15,8 @@
 constexpr IntegerRange heldBytesRange{1'024, 68'719'476'736, "bytes"};
 constexpr IntegerRange drainTimeoutRange{0, 3'600'000, "ms"};
 constexpr IntegerRange leaseRange{100, 3'600'000, "ms"};
+/// Between the end of the drain and the end of the time that the platform allows for a stop.
+constexpr Milliseconds exitPeriod{400};
 
 bool isEndpoint(std::string_view text)
 {
@@ -84,24 +87,6 @@
     table->rejectUnknownKeys();
 }
 
-void parseLimits(TomlTable &file, Settings &settings)
-{
-    auto table = file.table("limits", Presence::Optional);
-    if (!table)
-        return;
-    settings.maximumBodySize = static_cast<std::size_t>(
-            table->integer("maximum_body_bytes",
-                           static_cast<std::int64_t>(settings.maximumBodySize), bodySizeRange));
-    settings.maximumBytesHeld = static_cast<std::size_t>(
-            table->integer("maximum_held_bytes",
-                           static_cast<std::int64_t>(settings.maximumBytesHeld), heldBytesRange));
-    settings.drainTimeout = Milliseconds(
-            table->integer("drain_timeout_ms", settings.drainTimeout.count(), drainTimeoutRange));
-    if (settings.maximumBytesHeld < settings.maximumBodySize)
-        table->reject("maximum_held_bytes", "expected at least maximum_body_bytes");
-    table->rejectUnknownKeys();
-}
-
 std::optional<double> numberIn(std::string_view text)
 {
     double value = 0.0;
@@ -120,17 +105,44 @@
     return numberIn(table.text(key, Presence::Required, rule)).value_or(0.0);
 }
 
+/// Seconds, with fractions, as a number in a text.
+Milliseconds seconds(TomlTable &table, std::string_view key)
+{
+    constexpr double millisecondsPerSecond = 1000.0;
+    return Milliseconds(static_cast<std::int64_t>(number(table, key) * millisecondsPerSecond));
+}
+
+void parseLimits(TomlTable &file, Settings &settings)
+{
+    auto table = file.table("limits", Presence::Optional);
+    if (!table)
+        return;
+    settings.maximumBodySize = static_cast<std::size_t>(
+            table->integer("maximum_body_bytes",
+                           static_cast<std::int64_t>(settings.maximumBodySize), bodySizeRange));
+    settings.maximumBytesHeld = static_cast<std::size_t>(
+            table->integer("maximum_held_bytes",
+                           static_cast<std::int64_t>(settings.maximumBytesHeld), heldBytesRange));
+    settings.drainTimeout = Milliseconds(
+            table->integer("drain_timeout_ms", settings.drainTimeout.count(), drainTimeoutRange));
+    if (table->has("stop_grace_s"))
+        settings.drainTimeout = std::max(seconds(*table, "stop_grace_s") - exitPeriod, exitPeriod);
+    if (table->has("stop_grace_s") && table->has("drain_timeout_ms"))
+        table->reject("stop_grace_s", "expected this or drain_timeout_ms, not both");
+    if (settings.maximumBytesHeld < settings.maximumBodySize)
+        table->reject("maximum_held_bytes", "expected at least maximum_body_bytes");
+    table->rejectUnknownKeys();
+}
+
 void parseRetries(TomlTable &file, Settings &settings)
 {
     auto table = file.table("retries", Presence::Optional);
     if (!table)
         return;
-    constexpr double millisecondsPerSecond = 1000.0;
     Settings::RetryBound bound;
     bound.ratio = number(*table, "ratio");
     bound.constant = number(*table, "constant");
-    bound.window = Milliseconds(
-            static_cast<std::int64_t>(number(*table, "window_s") * millisecondsPerSecond));
+    bound.window = seconds(*table, "window_s");
     settings.retryBound = bound;
     table->rejectUnknownKeys();
 }
--- a/Tests/LibSettings/TestParseSettings.cpp
+++ b/Tests/LibSettings/TestParseSettings.cpp
@@ -67,6 +67,16 @@
         CHECK(settings.value().drainTimeout == Milliseconds(5000));
     }
 
+    SUBCASE("with the time between SIGTERM and SIGKILL, before which the drain must end")
+    {
+        const Result<Settings> settings = parseSettings(
+                replaced(wholeFile, "drain_timeout_ms = 5000", "stop_grace_s = \"10.5\""),
+                "node.toml");
+        REQUIRE(settings.has_value());
+        CHECK(settings.value().drainTimeout > Milliseconds(9500));
+        CHECK(settings.value().drainTimeout < Milliseconds(10500));
+    }
+
     SUBCASE("with only what has no default")
     {
         const Result<Settings> settings
@@ -96,6 +106,13 @@
         CHECK(mistakesIn(replaced(wholeFile, "5000", "-1")).starts_with("node.toml:20: "));
     }
 
+    SUBCASE("two limits of one drain")
+    {
+        CHECK(mistakesIn(replaced(wholeFile, "drain_timeout_ms = 5000",
+                                  "drain_timeout_ms = 5000\nstop_grace_s = \"6\""))
+                      .starts_with("node.toml:21: "));
+    }
+
     SUBCASE("a name instead of an IP number")
     {
         CHECK(mistakesIn(replaced(wholeFile, "127.0.0.1:7100", "log.example:7100"))
