LibNode: Answer 502 when a request may have run before a stop

What callers would see on the project's own interface: status 503 with the reason "leaving" and Chive-Execution may-have-run, where CALLERS.md says that no live target could take the request.

Cause: the status followed from the reason alone, and until calls in flight got verdicts at the end of a stop, "leaving" always meant that the request had not run.

--- a/Libraries/LibCore/Verdict.h
+++ b/Libraries/LibCore/Verdict.h
@@ -27,7 +27,7 @@
     NoTarget, ///< No live target of the service is known.
     DeadlineExceeded,
     AllowanceSpent,    ///< The request's allowance of nested calls or retries is used up.
-    Leaving,           ///< The target is draining and takes no new work.
+    Leaving,           ///< The target is draining or the node is stopping.
     LogUnavailable,    ///< At-most-once work needs the log service, which does not answer.
     DuplicateKey,      ///< The idempotency key has been used before.
     Quarantined,       ///< Requests with this fingerprint were in flight when targets crashed.
--- a/Libraries/LibNode/Inbound.cpp
+++ b/Libraries/LibNode/Inbound.cpp
@@ -144,6 +144,8 @@
     case Reason::IncompleteAnswer:
     case Reason::LinkLost:
         return 502;
+    case Reason::Leaving:
+        return verdict.execution == Execution::NotRun ? 503 : 502;
     default:
         return 503;
     }
--- a/Tests/LibNode/TestInbound.cpp
+++ b/Tests/LibNode/TestInbound.cpp
@@ -105,6 +105,12 @@
         CHECK(findHeader(response.headers, "Retry-After") == "2");
     }
 
+    SUBCASE("a status that promises not to have run is kept for requests that have not")
+    {
+        CHECK(responseFor(notRun(Reason::Leaving), "r1").status == 503);
+        CHECK(responseFor(mayHaveRun(Reason::Leaving), "r1").status == 502);
+    }
+
     SUBCASE("an answer keeps its status and body")
     {
         const HttpResponse response
