LibSettings: Bound the grace time of a stop

A stop_grace_s beyond what an integer holds overflowed, and one below 0.4 s made the drain longer than the grace time itself. Found by review. Now at most 3,600 s are accepted, and what is left after 0.4 s for the exit is the drain, down to nothing.

--- a/Libraries/LibSettings/ParseSettings.cpp
+++ b/Libraries/LibSettings/ParseSettings.cpp
@@ -17,6 +17,7 @@
 constexpr IntegerRange leaseRange{100, 3'600'000, "ms"};
 /// Between the end of the drain and the end of the time that the platform allows for a stop.
 constexpr Milliseconds exitPeriod{400};
+constexpr double longestStopGrace = 3'600.0; // seconds
 
 bool isEndpoint(std::string_view text)
 {
@@ -105,11 +106,24 @@
     return numberIn(table.text(key, Presence::Required, rule)).value_or(0.0);
 }
 
-/// Seconds, with fractions, as a number in a text.
-Milliseconds seconds(TomlTable &table, std::string_view key)
+Milliseconds secondsOf(double seconds)
 {
     constexpr double millisecondsPerSecond = 1000.0;
-    return Milliseconds(static_cast<std::int64_t>(number(table, key) * millisecondsPerSecond));
+    return Milliseconds(static_cast<std::int64_t>(seconds * millisecondsPerSecond));
+}
+
+void parseStopGrace(TomlTable &limits, Settings &settings)
+{
+    constexpr std::string_view key = "stop_grace_s";
+    if (!limits.has(key))
+        return;
+    const double grace = number(limits, key);
+    if (limits.has("drain_timeout_ms"))
+        limits.reject(key, "expected this or drain_timeout_ms, not both");
+    if (grace > longestStopGrace)
+        limits.reject(key, "expected at most 3600 seconds");
+    else
+        settings.drainTimeout = std::max(secondsOf(grace) - exitPeriod, Milliseconds(0));
 }
 
 void parseLimits(TomlTable &file, Settings &settings)
@@ -125,10 +139,7 @@
                            static_cast<std::int64_t>(settings.maximumBytesHeld), heldBytesRange));
     settings.drainTimeout = Milliseconds(
             table->integer("drain_timeout_ms", settings.drainTimeout.count(), drainTimeoutRange));
-    if (table->has("stop_grace_s"))
-        settings.drainTimeout = std::max(seconds(*table, "stop_grace_s") - exitPeriod, exitPeriod);
-    if (table->has("stop_grace_s") && table->has("drain_timeout_ms"))
-        table->reject("stop_grace_s", "expected this or drain_timeout_ms, not both");
+    parseStopGrace(*table, settings);
     if (settings.maximumBytesHeld < settings.maximumBodySize)
         table->reject("maximum_held_bytes", "expected at least maximum_body_bytes");
     table->rejectUnknownKeys();
@@ -142,7 +153,7 @@
     Settings::RetryBound bound;
     bound.ratio = number(*table, "ratio");
     bound.constant = number(*table, "constant");
-    bound.window = seconds(*table, "window_s");
+    bound.window = secondsOf(number(*table, "window_s"));
     settings.retryBound = bound;
     table->rejectUnknownKeys();
 }
--- a/Tests/LibSettings/TestParseSettings.cpp
+++ b/Tests/LibSettings/TestParseSettings.cpp
@@ -106,6 +106,12 @@
         CHECK(mistakesIn(replaced(wholeFile, "5000", "-1")).starts_with("node.toml:20: "));
     }
 
+    SUBCASE("a time between SIGTERM and SIGKILL that no platform allows")
+    {
+        CHECK(mistakesIn(replaced(wholeFile, "drain_timeout_ms = 5000", "stop_grace_s = \"1e10\""))
+                      .starts_with("node.toml:20: "));
+    }
+
     SUBCASE("two limits of one drain")
     {
         CHECK(mistakesIn(replaced(wholeFile, "drain_timeout_ms = 5000",
