Node: Announce the end of a node only if it ends

Peers would take a node for gone that still answers: the end of the process checks once more that nothing is in flight, but the announcement went out before that.

--- a/Services/Node/LinkTask.cpp
+++ b/Services/Node/LinkTask.cpp
@@ -10,6 +10,7 @@
 #include <prometheus/counter.h>
 #include <prometheus/registry.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -49,7 +50,7 @@
             bytesSent_[linkClass] = &bytes.Add({{"class", name}, {"direction", "sent"}});
             bytesReceived_[linkClass] = &bytes.Add({{"class", name}, {"direction", "received"}});
         }
-        kernel.addInFlight("link_bytes", [this] { return unsentBytes(); });
+        kernel.addInFlight("links_unsent", [this] { return unsentLinks(); });
         kernel.bus().subscribe<SendToPeer>([this](const SendToPeer &frame) { send(frame); });
         kernel.addStatus("links", [this] { return status(); });
     }
@@ -202,15 +203,14 @@
                                     connection.link->hasOpened()});
     }
 
-    /// Bytes of calls and answers that have not left this process.
-    [[nodiscard]] std::size_t unsentBytes() const
+    /// Links with calls or answers that have not left this process.
+    [[nodiscard]] std::size_t unsentLinks() const
     {
-        std::size_t bytes = 0;
-        for (const auto &[id, connection] : connections_) {
-            if (connection.key && connection.key->linkClass != LinkClass::Control)
-                bytes += connection.link->backlog();
-        }
-        return bytes;
+        return std::ranges::count_if(connections_, [](const auto &entry) {
+            const Connection &connection = entry.second;
+            return connection.key && connection.key->linkClass != LinkClass::Control
+                   && connection.link->backlog() > 0;
+        });
     }
 
     [[nodiscard]] nlohmann::json status() const
--- a/Services/Node/MembershipTask.cpp
+++ b/Services/Node/MembershipTask.cpp
@@ -89,7 +89,10 @@
             sendAll(membership_.leave());
             publishIfChanged();
         });
-        bus.subscribe<Drained>([this](const auto &) { sendAll(membership_.sayGone()); });
+        bus.subscribe<Drained>([this](const auto &) {
+            if (kernel_.inFlight() == 0)
+                sendAll(membership_.sayGone());
+        });
     }
 
     void tick()
