Node: Admit during a stop only what ends before it

Calls that the target makes over new connections for what it still runs were refused by a closed listener.

Cause: the end of admission was a fixed time before or after another one, which only by chance left time for what was admitted just before it.

Change: once the callers' notice is over, or too little of the drain is left, a call is admitted only if its own deadline ends in time, or ample time is left; a call that a running call makes needs the time of its objective. When a request began to arrive no longer matters. Where callers poll readiness the listener stays open, so that late requests get an answer that says that they have not run. Calls end a little before the last verdicts, so that the answers of targets at their deadline come through. Lines of a stopping node carry since_stop and connection, which replaces given-up.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -69,10 +69,10 @@
 } // namespace
 
 HttpExchange::HttpExchange(evhttp_request *request, std::shared_ptr<const bool> closesAfter,
-                           Origin origin)
+                           ConnectionUse connectionUse)
     : request_(request)
     , closesAfter_(std::move(closesAfter))
-    , origin_(origin)
+    , connectionUse_(connectionUse)
 {
     evhttp_connection *connection = evhttp_request_get_connection(request);
     bufferevent *buffer = evhttp_connection_get_bufferevent(connection);
@@ -166,15 +166,13 @@
     evhttp_free(server_);
 }
 
-HttpServer::Connection::Connection(bufferevent *handle, std::shared_ptr<const bool> marksLate)
+HttpServer::Connection::Connection(bufferevent *handle)
     : handle(handle)
-    , marksLate(std::move(marksLate))
 {
     bufferevent_incref(handle);
     const auto onBytes = [](evbuffer *, const evbuffer_cb_info *info, void *argument) {
-        auto *self = static_cast<Connection *>(argument);
-        if (info->n_added > 0 && !std::exchange(self->isReceiving, true))
-            self->origin.isLate = *self->marksLate;
+        if (info->n_added > 0)
+            static_cast<Connection *>(argument)->isReceiving = true;
     };
     watch = evbuffer_add_cb(bufferevent_get_input(handle), onBytes, this);
 }
@@ -190,7 +188,7 @@
     // The record outlives evhttp's connection, with read events that libevent keeps. The descriptor
     // must not be closed before they are gone, or they take bytes from whoever gets it next.
     bufferevent *handle = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
-    connections_.emplace(handle, std::make_unique<Connection>(handle, marksLate_));
+    connections_.emplace(handle, std::make_unique<Connection>(handle));
     return handle;
 }
 
@@ -228,18 +226,17 @@
 
 void HttpServer::handle(evhttp_request *request)
 {
-    HttpExchange::Origin origin;
+    auto use = HttpExchange::ConnectionUse::First;
     if (Connection *connection = connectionOf(request)) {
         connection->isReceiving = false;
         connection->isUnanswered = true;
-        origin = connection->origin;
-        connection->origin.isConnectionReused = true;
+        use = std::exchange(connection->use, HttpExchange::ConnectionUse::Reused);
     }
     const auto onSent = [](evhttp_request *sent, void *argument) {
         static_cast<HttpServer *>(argument)->handleResponseSent(sent);
     };
     evhttp_request_set_on_complete_cb(request, onSent, this);
-    handler_(readRequest(request), std::make_shared<HttpExchange>(request, closesAfter_, origin));
+    handler_(readRequest(request), std::make_shared<HttpExchange>(request, closesAfter_, use));
 }
 
 void HttpServer::handleResponseSent(evhttp_request *request)
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -6,6 +6,7 @@
 #include <LibSettings/Settings.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -24,15 +25,14 @@
 class HttpExchange
 {
 public:
-    /// How the request came.
-    struct Origin
-    {
-        bool isConnectionReused = false; ///< An earlier request came on the same connection.
-        bool isLate = false;             ///< It began after HttpServer::markLateRequests.
+    enum class ConnectionUse : std::uint8_t {
+        First,
+        Reused, ///< An earlier request came on the same connection.
     };
 
     /// `closesAfter` is shared with the server and read when the response is sent.
-    HttpExchange(evhttp_request *request, std::shared_ptr<const bool> closesAfter, Origin origin);
+    HttpExchange(evhttp_request *request, std::shared_ptr<const bool> closesAfter,
+                 ConnectionUse connectionUse);
     ~HttpExchange();
     HttpExchange(const HttpExchange &) = delete;
     HttpExchange &operator=(const HttpExchange &) = delete;
@@ -44,8 +44,10 @@
     /// repeated.
     void writeRaw(std::string_view bytes);
 
-    [[nodiscard]] bool isConnectionReused() const { return origin_.isConnectionReused; }
-    [[nodiscard]] bool isLate() const { return origin_.isLate; }
+    [[nodiscard]] bool isConnectionReused() const
+    {
+        return connectionUse_ == ConnectionUse::Reused;
+    }
 
     /// Closes the connection without a response.
     void abandon();
@@ -58,7 +60,7 @@
 
     evhttp_request *request_ = nullptr;
     std::shared_ptr<const bool> closesAfter_;
-    Origin origin_;
+    ConnectionUse connectionUse_;
     event *closed_ = nullptr;
     std::function<void()> peerGone_;
 };
@@ -86,9 +88,6 @@
     /// Accepts no more connections; those that are open go on.
     void stopAccepting();
 
-    /// From now on, marks the requests that begin to arrive as late.
-    void markLateRequests() { *marksLate_ = true; }
-
     /// From now on, closes each connection after the response that it gets next.
     void closeAfterResponses();
 
@@ -98,17 +97,16 @@
     /// What evhttp does not tell of one connection.
     struct Connection
     {
-        Connection(bufferevent *handle, std::shared_ptr<const bool> marksLate);
+        explicit Connection(bufferevent *handle);
         ~Connection();
         Connection(const Connection &) = delete;
         Connection &operator=(const Connection &) = delete;
 
         bufferevent *handle = nullptr; ///< Referenced, so that it never dangles.
         evbuffer_cb_entry *watch = nullptr;
-        std::shared_ptr<const bool> marksLate;
         bool isReceiving = false;
         bool isUnanswered = false;
-        HttpExchange::Origin origin; ///< Of the request that is, or will be, received.
+        HttpExchange::ConnectionUse use = HttpExchange::ConnectionUse::First;
     };
 
     bufferevent *addConnection();
@@ -120,7 +118,6 @@
     evhttp *server_ = nullptr;
     evhttp_bound_socket *socket_ = nullptr;
     std::shared_ptr<bool> closesAfter_ = std::make_shared<bool>(false);
-    std::shared_ptr<bool> marksLate_ = std::make_shared<bool>(false);
     Handler handler_;
     EventLoop &loop_;
     std::map<bufferevent *, std::unique_ptr<Connection>> connections_;
--- a/Libraries/LibNode/DecisionLines.h
+++ b/Libraries/LibNode/DecisionLines.h
@@ -14,8 +14,7 @@
 /// The inputs of a decision besides the call itself.
 struct DecisionInputs
 {
-    /// "request" at the entry node, "run" at the target's node, "given-up" at the entry node.
-    std::string_view event;
+    std::string_view event; ///< "request" at the entry node, "run" at the target's node.
     std::chrono::nanoseconds duration{0};
     std::uint64_t configuration = 0; ///< Active version; 0 if the decision did not use it.
     double pressure = 0.0;           ///< Below the service for "request", of the target for "run".
@@ -23,9 +22,9 @@
     std::optional<TargetLoad> load;  ///< Of the local target, for "run".
     Milliseconds left{0};            ///< Time to the deadline when the line is written.
     std::optional<double> share;     ///< Admitted share of the call's kind, for "request".
-    /// When the request came, from the beginning of the planned stop; for "given-up".
+    /// For "request" during a planned stop: when it came, counted from the beginning of the stop.
     std::optional<Milliseconds> sinceStop = {};
-    std::optional<bool> isConnectionReused = {}; ///< For "given-up".
+    std::optional<bool> isConnectionReused = {}; ///< For "request" during a planned stop.
 };
 
 [[nodiscard]] std::string decisionLine(const Call &call, const Judged<Answer> &result,
--- a/Libraries/LibNode/DrainSchedule.cpp
+++ b/Libraries/LibNode/DrainSchedule.cpp
@@ -9,12 +9,15 @@
 /// Time within which peers learn that the node is leaving.
 constexpr Milliseconds peerNoticePeriod{2'000};
 /// Callers poll readiness once a second and treat a node as not ready after two consecutive polls.
-constexpr Milliseconds callerNoticePeriod{3'000};
-/// For the refusal of requests that cross the end of the notice period.
-constexpr Milliseconds refusalPeriod{200};
-/// Without readiness checks callers cannot learn of the stop in advance, so requests are admitted
-/// as long as they have this much time.
-constexpr Milliseconds minimumTimeLeft{2'500};
+constexpr Milliseconds callerNoticePeriod{2'900};
+/// For the answers to requests that cross the end of the notice period.
+constexpr Milliseconds crossingPeriod{300};
+/// Calls that are admitted during the notice period have at least this long.
+constexpr Milliseconds minimumTime{2'200};
+/// Calls with a later deadline than the stop permits are admitted if they have at least this long.
+constexpr Milliseconds ampleTime{10'000};
+/// For the answers of targets and other nodes that end a call at its deadline.
+constexpr Milliseconds answerPeriod{50};
 /// For the last verdicts to reach callers and peers before the process ends.
 constexpr Milliseconds verdictPeriod{300};
 
@@ -25,30 +28,30 @@
     DrainSchedule schedule;
     schedule.endsAt = stopRequestedAt + settings.drainTimeout;
     schedule.answersBy = std::max(schedule.endsAt - verdictPeriod, stopRequestedAt);
-    if (settings.ready) {
-        schedule.admitsUntil = std::min(stopRequestedAt + callerNoticePeriod, schedule.answersBy);
-        schedule.endsFrom = std::min(schedule.admitsUntil + refusalPeriod, schedule.answersBy);
-    } else {
-        schedule.admitsUntil = std::max(schedule.answersBy - minimumTimeLeft, stopRequestedAt);
-        schedule.endsFrom = std::min(stopRequestedAt + peerNoticePeriod, schedule.answersBy);
-    }
+    schedule.deadline = std::max(schedule.answersBy - answerPeriod, stopRequestedAt);
+    schedule.admitsUntil = std::min(stopRequestedAt + callerNoticePeriod,
+                                    std::max(schedule.deadline - minimumTime, stopRequestedAt));
+    const TimePoint noticeEnds = settings.ready
+                                         ? stopRequestedAt + callerNoticePeriod + crossingPeriod
+                                         : stopRequestedAt + peerNoticePeriod;
+    schedule.endsFrom = std::min(noticeEnds, schedule.answersBy);
     return schedule;
 }
 
-std::optional<Verdict> reasonToRefuse(const DrainSchedule &schedule, Arrival arrival,
-                                      CallOrigin origin, const Call &call, TimePoint now)
+std::optional<Verdict> reasonToRefuse(const DrainSchedule &schedule, CallOrigin origin,
+                                      const Call &call, TimePoint now)
 {
-    if (now < schedule.admitsUntil)
-        return std::nullopt;
-    const bool isNeeded = arrival == Arrival::InTime || origin == CallOrigin::RunningCall;
-    if (isNeeded && now + call.objective < schedule.answersBy)
+    const bool isNeeded = origin == CallOrigin::RunningCall && call.objective.count() > 0;
+    const TimePoint end
+            = isNeeded ? now + call.objective : std::min(call.deadline, now + ampleTime);
+    if (now < schedule.admitsUntil || end <= schedule.deadline)
         return std::nullopt;
     return notRun(Reason::Leaving, "this node is stopping");
 }
 
 void limitDeadline(const DrainSchedule &schedule, Call &call)
 {
-    call.deadline = std::min(call.deadline, schedule.answersBy);
+    call.deadline = std::min(call.deadline, schedule.deadline);
 }
 
 } // namespace chive
--- a/Libraries/LibNode/DrainSchedule.h
+++ b/Libraries/LibNode/DrainSchedule.h
@@ -14,34 +14,28 @@
 /// The points in time of one planned stop.
 struct DrainSchedule
 {
-    TimePoint admitsUntil; ///< Requests that begin to arrive later are refused.
+    TimePoint admitsUntil; ///< Later calls are admitted only if they end in time.
     TimePoint endsFrom;    ///< The process ends from then on, once nothing is in flight.
+    TimePoint deadline;    ///< Latest deadline of the calls that are admitted during the stop.
     TimePoint answersBy;   ///< What is still in flight gets its verdict.
     TimePoint endsAt;      ///< The process ends in any case.
 };
 
 [[nodiscard]] DrainSchedule drainScheduleOf(const Settings &settings, TimePoint stopRequestedAt);
 
-/// When a request began to arrive.
-enum class Arrival : std::uint8_t {
-    InTime,
-    Late, ///< After DrainSchedule::admitsUntil.
-};
-
-/// Whether a call belongs to work that is already in flight at this node.
+/// Who makes a call.
 enum class CallOrigin : std::uint8_t {
     Caller,
     RunningCall, ///< The local target makes it for a call that it is running.
 };
 
 /// The verdict on a call that is not admitted during a planned stop, or nothing. Past
-/// DrainSchedule::admitsUntil, calls need time to meet their objective, and late ones are admitted
-/// only for a call in flight that needs them.
-[[nodiscard]] std::optional<Verdict> reasonToRefuse(const DrainSchedule &schedule, Arrival arrival,
-                                                    CallOrigin origin, const Call &call,
-                                                    TimePoint now);
+/// DrainSchedule::admitsUntil, a call of a caller needs its whole time before the stop ends, or
+/// ample time, and a call on which work in flight depends needs the time of its objective.
+[[nodiscard]] std::optional<Verdict>
+reasonToRefuse(const DrainSchedule &schedule, CallOrigin origin, const Call &call, TimePoint now);
 
-/// Lowers the deadline of a call to the time by which this node must have answered it.
+/// Lowers the deadline of a call to that of the schedule.
 void limitDeadline(const DrainSchedule &schedule, Call &call);
 
 } // namespace chive
--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -171,7 +171,7 @@
 struct DrainExpired
 {};
 
-/// No call is in flight any more; the process may exit.
+/// No call was in flight when this was posted; the process exits if that still holds.
 struct Drained
 {};
 
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -80,9 +80,11 @@
             return;
         }
         const CallOrigin origin = attachToCallTree(call.value());
-        if (const auto refusal = reasonToRefuseAtStop(*exchange, origin, call.value(), now)) {
-            noteDecision(call.value(), *refusal, std::chrono::nanoseconds(0));
-            refuse(*exchange, *refusal, request);
+        const auto leaving
+                = schedule_ ? reasonToRefuse(*schedule_, origin, call.value(), now) : std::nullopt;
+        if (leaving) {
+            noteDecision(call.value(), *leaving, std::chrono::nanoseconds(0), *exchange);
+            refuse(*exchange, *leaving, request);
             return;
         }
         const std::size_t size = bytesOf(request.body).size();
@@ -91,7 +93,7 @@
             return;
         }
         if (const auto refusal = reasonToShed(call.value())) {
-            noteDecision(call.value(), *refusal, std::chrono::nanoseconds(0));
+            noteDecision(call.value(), *refusal, std::chrono::nanoseconds(0), *exchange);
             refuse(*exchange, *refusal, request);
             return;
         }
@@ -123,16 +125,6 @@
         return CallOrigin::RunningCall;
     }
 
-    [[nodiscard]] std::optional<Verdict> reasonToRefuseAtStop(const HttpExchange &exchange,
-                                                              CallOrigin origin, const Call &call,
-                                                              TimePoint now) const
-    {
-        if (!schedule_)
-            return std::nullopt;
-        const Arrival arrival = exchange.isLate() ? Arrival::Late : Arrival::InTime;
-        return reasonToRefuse(*schedule_, arrival, origin, call, now);
-    }
-
     /// Refuses a caller's request when a service that its call tree uses is overloaded. Nested
     /// calls are never refused here.
     std::optional<Verdict> reasonToShed(const Call &call)
@@ -166,18 +158,21 @@
     }
 
     void noteDecision(const Call &call, const Judged<Answer> &result,
-                      std::chrono::nanoseconds latency)
+                      std::chrono::nanoseconds latency, const HttpExchange &exchange)
     {
-        const auto left = std::chrono::floor<Milliseconds>(call.deadline - kernel_.clock().now());
-        logDecision(kernel_.decisions(), call, result,
-                    {"request",
-                     latency,
-                     catalogue_->version,
-                     downstreamPressureOf(call),
-                     {},
-                     std::nullopt,
-                     left,
-                     admittedShareOf(call)});
+        const TimePoint now = kernel_.clock().now();
+        DecisionInputs inputs;
+        inputs.event = "request";
+        inputs.duration = latency;
+        inputs.configuration = catalogue_->version;
+        inputs.pressure = downstreamPressureOf(call);
+        inputs.left = std::chrono::floor<Milliseconds>(call.deadline - now);
+        inputs.share = admittedShareOf(call);
+        if (schedule_) {
+            inputs.sinceStop = std::chrono::floor<Milliseconds>(now - latency - stopRequestedAt_);
+            inputs.isConnectionReused = exchange.isConnectionReused();
+        }
+        logDecision(kernel_.decisions(), call, result, inputs);
     }
 
     static Verdict memoryLimitVerdict()
@@ -212,7 +207,7 @@
             kernel_.bus().post(RootEnded{request.call->kind, latency, wasServed});
         }
         metrics_.countFinishedCall(*request.call, routed.outcome.result, latency);
-        noteDecision(*request.call, routed.outcome.result, latency);
+        noteDecision(*request.call, routed.outcome.result, latency, *request.exchange);
         request.exchange->respond(
                 dialect_.responseFor(routed.outcome.result, request.call->requestId));
     }
@@ -220,24 +215,13 @@
     /// Ends the requests in flight with a verdict, as this node stops before their answers come.
     void giveUp()
     {
-        for (const auto &[token, request] : openRequests_) {
-            const TimePoint now = kernel_.clock().now();
-            DecisionInputs inputs;
-            inputs.event = "given-up";
-            inputs.duration = now - request.receivedAt;
-            inputs.configuration = catalogue_->version;
-            inputs.left = std::chrono::floor<Milliseconds>(request.call->deadline - now);
-            inputs.sinceStop
-                    = std::chrono::floor<Milliseconds>(request.receivedAt - stopRequestedAt_);
-            inputs.isConnectionReused = request.exchange->isConnectionReused();
-            logDecision(kernel_.decisions(), *request.call,
-                        mayHaveRun(Reason::Leaving, "the node stops first"), inputs);
+        for (const auto &[token, request] : openRequests_)
             kernel_.bus().post(CancelCall{token, Reason::Leaving});
-        }
     }
 
-    /// Callers that poll readiness keep sending until they have seen that this node is not ready,
-    /// so the node accepts connections until then.
+    /// Where callers poll readiness, connections are accepted until the process ends: callers that
+    /// have not heard of the stop get an answer, and calls in flight can make the calls that they
+    /// need.
     void beginStop(const DrainSchedule &schedule)
     {
         schedule_ = schedule;
@@ -245,11 +229,6 @@
         server_->closeAfterResponses();
         if (!kernel_.settings().ready)
             server_->stopAccepting();
-        const auto left = std::chrono::ceil<Milliseconds>(schedule.admitsUntil - stopRequestedAt_);
-        admissionTimer_ = kernel_.loop().after(std::max(left, Milliseconds(0)), [this] {
-            server_->stopAccepting();
-            server_->markLateRequests();
-        });
     }
 
     Kernel &kernel_;
@@ -260,7 +239,6 @@
     std::minstd_rand random_{std::random_device{}()};
     TimePoint stopRequestedAt_;
     std::optional<DrainSchedule> schedule_; ///< Set once a planned stop has begun.
-    Timer admissionTimer_;
     std::shared_ptr<const Catalogue> catalogue_;
     std::unique_ptr<HttpServer> server_;
     std::map<Token, OpenRequest> openRequests_;
--- a/Services/Node/LocalTarget.cpp
+++ b/Services/Node/LocalTarget.cpp
@@ -32,7 +32,7 @@
     kernel.bus().subscribe<CallRouted>(
             [this](const CallRouted &routed) { finishNestedCall(routed); });
     kernel.bus().subscribe<StopRequested>(
-            [this](const StopRequested &stop) { beginStop(stop.schedule); });
+            [this](const StopRequested &stop) { schedule_ = stop.schedule; });
     kernel.bus().subscribe<DrainExpired>([this](const DrainExpired &) {
         for (const auto &[token, nested] : nestedCalls_)
             kernel_.bus().post(CancelCall{token, Reason::Leaving});
@@ -193,10 +193,9 @@
         return;
     }
     if (schedule_) {
-        const auto refusal = reasonToRefuse(
-                *schedule_, exchange->isLate() ? Arrival::Late : Arrival::InTime,
-                contextId.value().empty() ? CallOrigin::Caller : CallOrigin::RunningCall, nested,
-                kernel_.clock().now());
+        const auto origin
+                = contextId.value().empty() ? CallOrigin::Caller : CallOrigin::RunningCall;
+        const auto refusal = reasonToRefuse(*schedule_, origin, nested, kernel_.clock().now());
         if (refusal) {
             CallOutcome outcome;
             outcome.result = *refusal;
@@ -214,14 +213,6 @@
     kernel_.bus().post(RouteCall{token, std::move(shared)});
 }
 
-void LocalTarget::beginStop(const DrainSchedule &schedule)
-{
-    schedule_ = schedule;
-    const auto left = std::chrono::ceil<Milliseconds>(schedule.admitsUntil - kernel_.clock().now());
-    admissionTimer_ = kernel_.loop().after(std::max(left, Milliseconds(0)),
-                                           [this] { server_->markLateRequests(); });
-}
-
 void LocalTarget::finishNestedCall(const CallRouted &routed)
 {
     const auto found = nestedCalls_.find(routed.token);
--- a/Services/Node/LocalTarget.h
+++ b/Services/Node/LocalTarget.h
@@ -60,7 +60,6 @@
     HttpResponse handleAnnouncement(const HttpRequest &request);
     void routeNestedCall(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange);
     void finishNestedCall(const CallRouted &routed);
-    void beginStop(const DrainSchedule &schedule);
     void checkLease();
     void applyAnnouncement(const Announcement &announcement);
     void applyDeparture(const std::string &targetId);
@@ -84,7 +83,6 @@
     Timer leaseTimer_;
     std::map<Token, NestedCall> nestedCalls_;
     std::optional<DrainSchedule> schedule_; ///< Set once a planned stop has begun.
-    Timer admissionTimer_;
 };
 
 } // namespace chive
