--- a/Tests/Harness/Mesh.cpp
+++ b/Tests/Harness/Mesh.cpp
@@ -32,7 +32,10 @@
          << "\"\nregion = \"" << spec.region << "\"\n\n[endpoints]\ncallers = \""
          << format(member.callers) << "\"\ntarget_calls = \"" << format(member.targetCalls)
          << "\"\nlinks = \"" << format(member.links) << "\"\nadmin = \"" << format(member.admin)
-         << "\"\n\n[log]\nendpoint = \"" << format(log) << "\"\n\n[mesh]\npeers = [";
+         << "\"\n";
+    if (spec.hasReady)
+        text << "ready = \"" << format(member.ready) << "\"\n";
+    text << "\n[log]\nendpoint = \"" << format(log) << "\"\n\n[mesh]\npeers = [";
     for (const Endpoint &peer : spec.peers)
         text << '"' << format(peer) << "\", ";
     text << "]\n\n[limits]\ndrain_timeout_ms = " << spec.drainTimeout.count() << "\n"
@@ -82,6 +85,7 @@
     member.targetCalls = freeEndpoint();
     member.links = freeEndpoint();
     member.admin = freeEndpoint();
+    member.ready = freeEndpoint();
     member.target = freeEndpoint();
     Endpoint log = logEndpoint_;
     if (member.spec.isLogProxied) {
--- a/Tests/Harness/Mesh.h
+++ b/Tests/Harness/Mesh.h
@@ -31,6 +31,7 @@
     Milliseconds drainTimeout{30'000};
     std::string moreSettings; ///< TOML appended to the node's settings.
     bool hasTarget = true;    ///< False for a node that only takes callers' requests.
+    bool hasReady = false;    ///< The node answers readiness checks.
 };
 
 /// A running node and its target, with the endpoints to reach and to disturb them.
@@ -41,6 +42,7 @@
     Endpoint targetCalls;
     Endpoint links;
     Endpoint admin;
+    Endpoint ready;       ///< Where the node answers readiness checks, if it does.
     Endpoint target;      ///< Where the target listens; its /control is here.
     Endpoint targetProxy; ///< /control of the proxy before the target.
     Endpoint logProxy;    ///< /control of the proxy before the log.
