LibHttp: Test that a response counts until it has left

A response that had been handed to the HTTP library did not count as in flight, so a planned stop cut it for callers that read slowly. The test holds that HttpServer::unanswered counts a request until its whole response has left, also on a connection that closes after it, and no more when the peer leaves. It does not compile without that function.

--- a/Tests/LibHttp/TestHttp.cpp
+++ b/Tests/LibHttp/TestHttp.cpp
@@ -11,6 +11,8 @@
 
 #include <array>
 #include <optional>
+#include <utility>
+#include <vector>
 
 using namespace chive;
 
@@ -60,6 +62,58 @@
     evconnlistener *listener_ = nullptr;
 };
 
+/// A client that writes and reads when it is told to.
+class RawPeer
+{
+public:
+    explicit RawPeer(EventLoop &loop)
+        : loop_(loop)
+        , handle_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(endpoint.port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bufferevent_enable(handle_, EV_READ | EV_WRITE);
+        bufferevent_socket_connect(handle_, reinterpret_cast<sockaddr *>(&address), sizeof address);
+    }
+    ~RawPeer() { close(); }
+    RawPeer(const RawPeer &) = delete;
+    RawPeer &operator=(const RawPeer &) = delete;
+
+    void write(std::string_view bytes) { bufferevent_write(handle_, bytes.data(), bytes.size()); }
+    void pauseReading() { bufferevent_disable(handle_, EV_READ); }
+    void resumeReading() { bufferevent_enable(handle_, EV_READ); }
+    [[nodiscard]] std::size_t received() const
+    {
+        return evbuffer_get_length(bufferevent_get_input(handle_));
+    }
+    void close()
+    {
+        if (handle_ != nullptr)
+            bufferevent_free(std::exchange(handle_, nullptr));
+    }
+
+    void runFor(Milliseconds duration)
+    {
+        const Timer end = loop_.after(duration, [this] { loop_.stop(); });
+        loop_.run();
+    }
+
+    /// Runs the loop until the condition holds; false when it did not within two seconds.
+    template<typename Condition>
+    bool runUntil(const Condition &condition)
+    {
+        for (int i = 0; i < 2000 && !condition(); ++i)
+            runFor(Milliseconds(1));
+        return condition();
+    }
+
+private:
+    EventLoop &loop_;
+    bufferevent *handle_;
+};
+
 HttpClient::Outcome exchange(EventLoop &loop, HttpClient &client, const HttpRequest &request)
 {
     std::optional<HttpClient::Outcome> result;
@@ -317,3 +371,78 @@
         bufferevent_free(peer);
     }
 }
+
+TEST_CASE("The server tells how many requests have not got their whole response")
+{
+    EventLoop loop;
+    constexpr std::size_t largeBody = 16 * bodyLimit; // More than the sockets hold.
+    std::vector<std::shared_ptr<HttpExchange>> pending;
+    auto server = HttpServer::listen(
+            loop, endpoint, bodyLimit,
+            [&](const HttpRequest &, const auto &exchange) { pending.push_back(exchange); });
+    REQUIRE(server.has_value());
+    HttpServer &counted = *server.value();
+    CHECK(counted.unanswered() == 0);
+    RawPeer peer(loop);
+    peer.write("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+    REQUIRE(peer.runUntil([&] { return counted.receiving() == 1; }));
+    CHECK(counted.unanswered() == 0);
+    peer.write("cd");
+    REQUIRE(peer.runUntil([&] { return pending.size() == 1; }));
+    CHECK(counted.receiving() == 0);
+    CHECK(counted.unanswered() == 1);
+
+    SUBCASE("none once it has left, again with the next request on the connection")
+    {
+        for (std::size_t round = 2; round <= 4; ++round) {
+            pending.back()->respond({200, {}, makeBody("done")});
+            CHECK(peer.runUntil([&] { return counted.unanswered() == 0; }));
+            peer.write("GET / HTTP/1.1\r\n\r\n");
+            REQUIRE(peer.runUntil([&] { return pending.size() == round; }));
+            CHECK(counted.unanswered() == 1);
+        }
+    }
+
+    SUBCASE("one as long as the peer does not read all of it")
+    {
+        peer.pauseReading();
+        pending.back()->respond({200, {}, makeBody(std::string(largeBody, 'x'))});
+        peer.runFor(Milliseconds(200));
+        CHECK(counted.unanswered() == 1);
+        peer.resumeReading();
+        CHECK(peer.runUntil([&] { return counted.unanswered() == 0; }));
+        CHECK(peer.runUntil([&] { return peer.received() > largeBody; }));
+    }
+
+    SUBCASE("also while the connection closes after it")
+    {
+        counted.closeAfterResponses();
+        counted.stopAccepting();
+        peer.pauseReading();
+        pending.back()->respond({200, {}, makeBody(std::string(largeBody, 'x'))});
+        peer.runFor(Milliseconds(200));
+        CHECK(counted.unanswered() == 1);
+        peer.resumeReading();
+        CHECK(peer.runUntil([&] { return counted.unanswered() == 0; }));
+        CHECK(peer.runUntil([&] { return peer.received() > largeBody; }));
+    }
+
+    SUBCASE("none when the peer leaves in the middle of it")
+    {
+        peer.pauseReading();
+        pending.back()->respond({200, {}, makeBody(std::string(largeBody, 'x'))});
+        peer.runFor(Milliseconds(200));
+        CHECK(counted.unanswered() == 1);
+        peer.close();
+        CHECK(peer.runUntil([&] { return counted.unanswered() == 0; }));
+    }
+
+    SUBCASE("none when the peer has left before it")
+    {
+        peer.close();
+        loop.post([&] { loop.stop(); });
+        loop.run();
+        pending.back()->respond({200, {}, makeBody("done")});
+        CHECK(peer.runUntil([&] { return counted.unanswered() == 0; }));
+    }
+}
