platform: Believe a refusal only if it names the request

Callers would see 503 "not run" for a request that its target had run or was running, and the router would send such a request to a second target.

Cause: readAnswer() took every 421 and every response with the not-run header as the target's word on the request at hand. HttpClient drops responses that name another request, and on a used connection those that name none, but the first response on a connection was accepted without an id, even one that the target wrote before it had read the request.

Why it works: targets repeat the id of the request in each response, and a response that reaches readAnswer() with an id bears that of this request. The checks in TestRequests.cpp that expect NotRun now pass the id, as targets do; the same responses without it are checked to prove nothing.

--- a/Tests/Platform/TestRequests.cpp
+++ b/Tests/Platform/TestRequests.cpp
@@ -110,6 +110,8 @@
         return dialect().readAnswer({status, std::move(headers), nullptr});
     };
     const Header signature{"X-Chiverouter-Response-Stamp", "s"};
+    const Header id{"X-Chiverouter-Attempt-Id", "id-1"};
+    const Header refused{"X-Chiverouter-Not-Executed", "1"};
 
     SUBCASE("the target's own answers pass")
     {
@@ -119,15 +121,21 @@
     }
     SUBCASE("only the target's word proves that it has not run")
     {
-        const auto shed = answerOf(503, {{"X-Chiverouter-Not-Executed", "1"}});
+        const auto shed = answerOf(503, {refused, id});
         REQUIRE_FALSE(shed.has_value());
         CHECK(shed.error().execution == Execution::NotRun);
         CHECK(shed.error().hasReachedTarget);
-        CHECK(answerOf(421, {}).error().execution == Execution::NotRun);
+        CHECK(answerOf(421, {id}).error().execution == Execution::NotRun);
         for (const int status : {503, 429, 408})
-            CHECK(answerOf(status, {signature}).error().execution == Execution::MayHaveRun);
+            CHECK(answerOf(status, {signature, id}).error().execution == Execution::MayHaveRun);
         CHECK(answerOf(200, {}).error().execution == Execution::MayHaveRun);
     }
+    SUBCASE("and only if it names the request")
+    {
+        for (const int status : {400, 421, 429, 503})
+            CHECK(answerOf(status, {refused}).error().execution == Execution::MayHaveRun);
+        CHECK(answerOf(421, {}).error().execution == Execution::MayHaveRun);
+    }
     SUBCASE("no verdict that may have run is told as one that has not")
     {
         for (int reason = 0; reason <= static_cast<int>(Reason::NotReady); ++reason) {
