LibHttp: Send a request that failed over another connection when it comes again

Callers would see 503 "not run" for a request that its target was running, if the target had refused a request of the same id on that connection before and wrote that refusal once more.

Cause: a response is tied to its request by the echoed id alone. Where the same id was sent twice on a kept connection, for example by a nested call that its parent made again, a late second response to the first could not be told from the answer to the second.

Evidence: on the code before, TestPlatform failed with 4 of 343 assertions, in "A refusal written once more refuses no other request", "with the same id, where the same request comes again and runs" and "where that request comes again after others": the second request was refused by the repeated refusal. Both pass now.

Why it works: a connection remembers the ids that failed on it and is passed over for a request with one of them, so no response to the first can reach the second. It remembers at most 256 hashes and is closed after so many failures.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -13,6 +13,7 @@
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <functional>
 #include <utility>
 
 namespace chive {
@@ -29,6 +30,9 @@
 /// crosses the server's close.
 constexpr Milliseconds idleMargin{1'500};
 
+/// A connection is closed after so many failures, which bounds what it remembers of them.
+constexpr std::size_t maximumFailures = 256;
+
 HttpClient::RequestId nextRequestId()
 {
     static HttpClient::RequestId last = 0;
@@ -43,6 +47,13 @@
     return isOneOfHeaders(framing, name);
 }
 
+/// Whether the request may come again after this status, RFC 9110 sections 15.5 and 15.6.
+bool isFailure(int status)
+{
+    constexpr int leastFailure = 400;
+    return status >= leastFailure;
+}
+
 bool usuallyHasBody(std::string_view method)
 {
     return method == "POST" || method == "PUT" || method == "PATCH";
@@ -90,6 +101,7 @@
     bool hasAnswered = false;  ///< A response has come on it before.
     Milliseconds idleFor{0};
     Milliseconds idleLimit{0};
+    std::vector<std::size_t> failures; ///< Hashes of the echoed values of requests that failed.
 
     explicit Connection(HttpClient &owner)
         : client(owner)
@@ -128,6 +140,18 @@
         return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     }
 
+    void noteFailure(std::string_view echoed)
+    {
+        failures.push_back(std::hash<std::string_view>()(echoed));
+    }
+
+    /// Whether a request with this value has failed on it before. Were it sent once more, a late
+    /// second response to the first could not be told from the answer.
+    [[nodiscard]] bool hasFailed(std::string_view echoed) const
+    {
+        return std::ranges::find(failures, std::hash<std::string_view>()(echoed)) != failures.end();
+    }
+
     [[nodiscard]] bool hasUnsentBytes() const
     {
         return evbuffer_get_length(bufferevent_get_output(handle)) != 0;
@@ -154,12 +178,15 @@
 
 HttpClient::~HttpClient() = default;
 
-std::unique_ptr<HttpClient::Connection> HttpClient::takeConnection()
+std::unique_ptr<HttpClient::Connection> HttpClient::takeConnection(std::string_view echoed)
 {
     // The most recently used connection is the least likely to have been closed by the server.
-    while (!idle_.empty()) {
-        auto connection = std::move(idle_.back());
-        idle_.pop_back();
+    for (auto next = idle_.end(); next != idle_.begin();) {
+        --next;
+        if (!echoed.empty() && (*next)->hasFailed(echoed))
+            continue;
+        auto connection = std::move(*next);
+        next = idle_.erase(next);
         if (!connection->isQuiet())
             continue;
         connection->bytesSent = 0;
@@ -178,7 +205,7 @@
     active.rules = std::move(rules);
     active.callback = std::move(callback);
     active.reader = std::make_unique<ResponseReader>(active.method, maximumBodySize_);
-    active.connection = takeConnection();
+    active.connection = takeConnection(active.rules.echo.value);
     active.connection->active = &active;
     active_.emplace(active.id, std::move(owned));
     active.limit = loop_.after(timeout, [this, id = active.id] {
@@ -249,7 +276,10 @@
     const bool isQuiet = evbuffer_get_length(bufferevent_get_input(connection.handle)) == 0
                          && !connection.hasUnsentBytes();
     const bool isTrusted = !expectsEcho && trustsServer_;
+    if (isTied && isFailure(response.status))
+        connection.noteFailure(echoed);
     const bool isReusable = (isTied || isTrusted) && !active.hasSkipped && isQuiet
+                            && connection.failures.size() < maximumFailures
                             && active.reader->keepsConnection();
     finish(active, std::move(response), isReusable);
 }
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -55,8 +55,9 @@
 ///
 /// Where an echoed header is asked for, a response that bears another value belongs to another
 /// request and is skipped, and a connection is used again only after a response that bore the
-/// value. Surplus bytes, an answer before the whole request was sent and any other irregularity
-/// close the connection. evhttp's client shows none of these, so this one reads with http_parser.
+/// value. A request with the value of one that failed goes over another connection. Surplus bytes,
+/// an answer before the whole request was sent and any other irregularity close the connection.
+/// evhttp's client shows none of these, so this one reads with http_parser.
 class HttpClient
 {
 public:
@@ -92,7 +93,7 @@
     struct Connection;
     struct Active;
 
-    std::unique_ptr<Connection> takeConnection();
+    std::unique_ptr<Connection> takeConnection(std::string_view echoed);
     void write(Connection &connection, const HttpRequest &request) const;
     void handleReadable(Connection &connection);
     void handleEvent(Connection &connection, short what);
--- a/Tests/Platform/TestRepeatedRefusal.cpp
+++ b/Tests/Platform/TestRepeatedRefusal.cpp
@@ -210,6 +210,33 @@
         CHECK(second.error().execution == Execution::MayHaveRun);
     }
 
+    SUBCASE("with the same id, where the same request comes again and runs")
+    {
+        const ScriptedTarget target(loop, [](Connection &connection) {
+            const bool isRefused = connection.target->connections() == 1;
+            connection.write(isRefused ? refusal("same") : answer("same"));
+        });
+        CHECK(isRefusal(call(loop, client, "same")));
+        CHECK(call(loop, client, "same").has_value());
+        CHECK(target.connections() == 2);
+    }
+
+    SUBCASE("with the same id, where that request comes again after others")
+    {
+        const ScriptedTarget target(loop, [](Connection &connection) {
+            if (connection.target->connections() == 2)
+                connection.write(answer("same"));
+            else if (connection.requests == 2)
+                connection.write(answer("second"));
+            else
+                connection.write(refusal("same"));
+        });
+        CHECK(isRefusal(call(loop, client, "same")));
+        CHECK(call(loop, client, "second").has_value());
+        CHECK(call(loop, client, "same").has_value());
+        CHECK(target.connections() == 2);
+    }
+
     SUBCASE("before the next request is written")
     {
         const ScriptedTarget target(loop, [&](Connection &connection) {
