LibCore: Refuse JSON that is nested too deeply

A heartbeat with 100,000 nested arrays within `info`, as another writer may send it, would end the node with a segmentation fault, again after each restart for as long as it came. Callers would see their connections closed. A configuration with such a value within `limits` would do the same to every node.

Cause: nlohmann::json parses without recursion, but copies by recursion, and objectField() and arrayField() return copies. 100,000 levels exhaust the stack.

Why it works: parseObject() refuses text in which brackets outside of strings are nested more than 64 levels deep, before any value is built.

--- a/Libraries/LibCore/JsonRead.cpp
+++ b/Libraries/LibCore/JsonRead.cpp
@@ -9,6 +9,27 @@
 using nlohmann::json;
 
 constexpr double maximumSeconds = 86'400.0;
+/// nlohmann::json copies, compares and dumps values by recursion.
+constexpr std::size_t maximumDepth = 64;
+
+/// Whether brackets outside of strings are nested beyond the maximum depth.
+bool isTooDeep(std::string_view text)
+{
+    std::size_t depth = 0;
+    bool isInString = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (isInString && c == '\\')
+            ++i; // The escaped character.
+        else if (c == '"')
+            isInString = !isInString;
+        else if (!isInString && (c == '[' || c == '{') && ++depth > maximumDepth)
+            return true;
+        else if (!isInString && (c == ']' || c == '}') && depth > 0)
+            --depth;
+    }
+    return false;
+}
 
 const json *find(const json &object, std::string_view field)
 {
@@ -27,6 +48,8 @@
 
 Result<json> parseObject(std::string_view text)
 {
+    if (isTooDeep(text))
+        return invalidField("body", "less nesting");
     json parsed = json::parse(text, nullptr, false);
     if (!parsed.is_object())
         return invalidField("body", "a JSON object");
--- a/Libraries/LibCore/JsonRead.h
+++ b/Libraries/LibCore/JsonRead.h
@@ -14,6 +14,7 @@
 
 [[nodiscard]] Error invalidField(std::string_view field, std::string_view expectation);
 
+/// Fails on input that is nested so deeply that its use could exhaust the stack.
 [[nodiscard]] Result<nlohmann::json> parseObject(std::string_view text);
 [[nodiscard]] Result<nlohmann::json> objectField(const nlohmann::json &object,
                                                  std::string_view field);
