LibCore: Refuse CBOR that is nested too deeply

A frame from a peer with 100,000 nested arrays, maps or strings would end the node with a segmentation fault. Callers would see their connections closed.

Cause: nlohmann::json::from_cbor() decodes by recursion, also strings of indefinite length within each other, and its sizes are read from the input.

Evidence: on the code before, these crashed with SIGSEGV: "Deeply nested CBOR does not end the process" in TestLibCore (maps, texts and byte strings; arrays were accepted), "A damaged frame is an error, not a truncated call or answer" in TestLibNode, "Suspicions are encoded with ages" in TestLibQuarantine and "Membership messages are encoded as bytes" in TestLibMembership. All pass now.

--- a/Libraries/LibMembership/MembershipMessage.cpp
+++ b/Libraries/LibMembership/MembershipMessage.cpp
@@ -1,5 +1,7 @@
 #include <LibMembership/MembershipMessage.h>
 
+#include <LibCore/Cbor.h>
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -74,7 +76,7 @@
 Result<MembershipMessage> parseMembershipMessage(std::string_view bytes)
 {
     try {
-        return parse(Json::from_cbor(bytes.begin(), bytes.end()));
+        return parse(parseCbor(bytes));
     } catch (const Json::exception &exception) {
         return Error{Error::Kind::Invalid, exception.what()};
     }
--- a/Libraries/LibNode/CallCodec.cpp
+++ b/Libraries/LibNode/CallCodec.cpp
@@ -1,5 +1,7 @@
 #include <LibNode/CallCodec.h>
 
+#include <LibCore/Cbor.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -59,13 +61,10 @@
     if (size > frame.size())
         return malformed("head longer than the frame");
     const std::string_view headBytes = frame.substr(0, size);
-    // from_cbor() throws on an excessive container size even when exceptions are switched off.
-    return catchJsonErrors<Parts>([&]() -> Result<Parts> {
-        json head = json::from_cbor(headBytes.begin(), headBytes.end());
-        if (!head.is_array())
-            return malformed("head is not a CBOR array");
-        return Parts{std::move(head), frame.substr(size)};
-    });
+    json head = parseCbor(headBytes);
+    if (!head.is_array())
+        return malformed("head is not a CBOR array");
+    return Parts{std::move(head), frame.substr(size)};
 }
 
 /// Reads the elements of an array in order. Throws out_of_range after the last element.
--- a/Libraries/LibQuarantine/QuarantineMessage.cpp
+++ b/Libraries/LibQuarantine/QuarantineMessage.cpp
@@ -1,5 +1,7 @@
 #include <LibQuarantine/QuarantineMessage.h>
 
+#include <LibCore/Cbor.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -62,8 +64,11 @@
 Result<std::vector<Suspicion>> parseSuspicions(std::string_view bytes, TimePoint now)
 {
     try {
+        const Json list = parseCbor(bytes);
+        if (!list.is_array())
+            return Error{Error::Kind::Invalid, "expected a CBOR array"};
         std::vector<Suspicion> suspicions;
-        for (const Json &json : Json::from_cbor(bytes.begin(), bytes.end()))
+        for (const Json &json : list)
             suspicions.push_back(parseSuspicion(json, now));
         return suspicions;
     } catch (const Json::exception &exception) {
--- a/Services/Node/LinkFrame.cpp
+++ b/Services/Node/LinkFrame.cpp
@@ -1,5 +1,7 @@
 #include <Node/LinkFrame.h>
 
+#include <LibCore/Cbor.h>
+
 #include <nlohmann/json.hpp>
 
 namespace chive {
@@ -59,7 +61,7 @@
 Result<LinkKey> decodeHello(std::string_view payload)
 {
     try {
-        const json hello = json::from_cbor(payload.begin(), payload.end());
+        const json hello = parseCbor(payload);
         const auto linkClass = hello.at("class").get<std::uint64_t>();
         if (linkClass > static_cast<std::uint64_t>(LinkClass::Bulk))
             return Error{Error::Kind::Invalid, "hello with an unknown link class"};
--- a/Tests/LibCore/TestUntrustedInput.cpp
+++ b/Tests/LibCore/TestUntrustedInput.cpp
@@ -47,6 +47,60 @@
     }
 }
 
+TEST_CASE("Deeply nested CBOR does not end the process")
+{
+    std::string unit;
+    SUBCASE("arrays of one element")
+    {
+        unit = "\x81";
+    }
+    SUBCASE("arrays without a length")
+    {
+        unit = "\x9F";
+    }
+    SUBCASE("maps")
+    {
+        unit = "\xA1\x61k";
+    }
+    SUBCASE("texts without a length")
+    {
+        unit = "\x7F";
+    }
+    SUBCASE("byte strings without a length")
+    {
+        unit = "\x5F";
+    }
+    SUBCASE("tags")
+    {
+        unit = "\xC6";
+    }
+    CHECK(parseCbor(repeated(unit, deep) + std::string(1, '\0')).is_null());
+}
+
+TEST_CASE("CBOR that nodes write is read")
+{
+    const nlohmann::json value{{"a", {1, -1, 1.5, true, nullptr, "text"}},
+                               {"b", std::string(70'000, 'x')},
+                               {"c", std::vector<int>(300, 70'000)},
+                               {"d", std::numeric_limits<std::uint64_t>::max()},
+                               {"e", nlohmann::json::binary({1, 2, 3})}};
+    std::string bytes;
+    nlohmann::json::to_cbor(value, bytes);
+    CHECK(parseCbor(bytes) == value);
+    SUBCASE("whole only")
+    {
+        for (std::size_t size = 0; size < 100; ++size)
+            CHECK(parseCbor(std::string_view(bytes).substr(0, size)).is_null());
+        CHECK(parseCbor(bytes + "x").is_null());
+    }
+    SUBCASE("and lengths beyond the input are not")
+    {
+        CHECK(parseCbor("\x9B\xFF\xFF\xFF\xFF\xFF\xFF\xFF\xFF").is_null());
+        CHECK(parseCbor("\xBB\xFF\xFF\xFF\xFF\xFF\xFF\xFF\xFF").is_null());
+        CHECK(parseCbor("\x7B\xFF\xFF\xFF\xFF\xFF\xFF\xFF\xFF").is_null());
+    }
+}
+
 TEST_CASE("Random bytes do not end the process")
 {
     std::mt19937_64 random(20'261'205);
--- a/Tests/LibMembership/TestMembershipMessage.cpp
+++ b/Tests/LibMembership/TestMembershipMessage.cpp
@@ -36,6 +36,11 @@
         CHECK(parsed.value().isReplyWanted);
     }
 
+    SUBCASE("very deep nesting is rejected without a crash")
+    {
+        CHECK_FALSE(parseMembershipMessage(std::string(100'000, '\x81')).has_value());
+        CHECK_FALSE(parseMembershipMessage(std::string(100'000, '\x7F')).has_value());
+    }
     SUBCASE("damaged bytes are rejected or parsed without a crash")
     {
         const std::string bytes = encode(message);
--- a/Tests/LibNode/TestCallCodec.cpp
+++ b/Tests/LibNode/TestCallCodec.cpp
@@ -115,6 +115,22 @@
             CHECK_FALSE(decodeOutcome(std::string_view(answer).substr(0, size)).has_value());
     }
 
+    SUBCASE("very deep nesting does not crash the decoder")
+    {
+        constexpr std::size_t deep = 100'000;
+        for (const std::string_view unit : {"\x81", "\xA1\x61k", "\x7F", "\x5F"}) {
+            std::string head;
+            for (std::size_t i = 0; i < deep; ++i)
+                head.append(unit);
+            std::string nested(4, '\0');
+            for (std::size_t i = 0; i < nested.size(); ++i)
+                nested[i] = static_cast<char>(head.size() >> (8 * (3 - i)));
+            nested += head;
+            CHECK_FALSE(decodeCall(nested, TimePoint()).has_value());
+            CHECK_FALSE(decodeOutcome(nested).has_value());
+            CHECK_FALSE(decodeCancel(nested).has_value());
+        }
+    }
     SUBCASE("random damage does not crash the decoder")
     {
         std::mt19937 generator(3);
--- a/Tests/LibQuarantine/TestQuarantineState.cpp
+++ b/Tests/LibQuarantine/TestQuarantineState.cpp
@@ -124,6 +124,12 @@
         CHECK(parsed.value()[0].completedAt == other - std::chrono::seconds(2));
     }
 
+    SUBCASE("a very deeply nested message is rejected without a crash")
+    {
+        CHECK_FALSE(parseSuspicions(std::string(100'000, '\x81'), start).has_value());
+        CHECK_FALSE(parseSuspicions(std::string(100'000, '\x7F'), start).has_value());
+    }
+
     SUBCASE("a truncated message is rejected")
     {
         CHECK_FALSE(parseSuspicions(bytes.substr(0, bytes.size() / 2), start).has_value());
