platform: Let one odd entry in the store hide no other

Nodes would stop following the directory or the configuration, each until the odd entry is gone: the page of newest values failed as a whole, was asked for again and failed again. A node that started meanwhile would know no configuration and answer 503.

Cause: readNewest() and readChanges() gave up at the first item without a key, value or offset of the expected type, or a record without a whole key.

A record without a key keeps its place among the changes as an entry without a key, so that the offsets of the others and of the next read are right; its readers ignore it. An answer that is cut is an error as before.

--- a/Libraries/LibLog/StoreProtocol.h
+++ b/Libraries/LibLog/StoreProtocol.h
@@ -43,8 +43,8 @@
 /// The records written to a topic from an offset on.
 struct StoreChanges
 {
-    std::vector<StoreEntry> entries;
-    bool isTruncated = false; ///< Some records have expired; read the newest values instead.
+    std::vector<StoreEntry> entries; ///< One per offset; without a key where it cannot be read.
+    bool isTruncated = false;        ///< Some records have expired; read the newest values instead.
 };
 
 /// How to encode requests to one kind of store and parse its responses.
--- a/Tests/Platform/TestOddEntries.cpp
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -39,6 +39,14 @@
            + R"(},"status":{"state":"ready","sequence":4}})";
 }
 
+Result<StorePage> readItems(std::string_view items, std::string_view hasMore = "false")
+{
+    return protocol().readNewest({200,
+                                  {},
+                                  makeBody(R"({"items":[)" + std::string(items) + R"(],"hasMore":)"
+                                           + std::string(hasMore) + R"(,"end":9})")});
+}
+
 std::string number(std::uint64_t value, int bytes)
 {
     std::string text;
@@ -55,6 +63,8 @@
 
 const std::string first = R"({"key":"a","value":"eHk=","offset":1})";
 const std::string last = R"({"key":"c","value":"eHk=","offset":7})";
+const StoreEntry firstEntry{"a", "xy", 1};
+const StoreEntry lastEntry{"c", "xy", 7};
 
 } // namespace
 
@@ -90,6 +100,54 @@
                         .has_value());
 }
 
+TEST_CASE("One odd entry in the store hides no other")
+{
+    const std::vector<StoreEntry> both{firstEntry, lastEntry};
+    SUBCASE("on a page of newest values")
+    {
+        for (const std::string &odd :
+             {std::string("1"), std::string("null"), std::string("{}"), std::string("[[]]"),
+              std::string(R"({"key":7,"value":"eHk=","offset":2})"),
+              std::string(R"({"key":"b","value":5,"offset":2})"),
+              std::string(R"({"key":"b","value":"eHk=","offset":-2})"),
+              std::string(R"({"key":"b","value":"eHk=","offset":1e30})"),
+              std::string(R"({"key":"b","offset":2})")}) {
+            CAPTURE(odd);
+            const auto page = readItems(std::string(first).append(",").append(odd) + "," + last);
+            REQUIRE(page.has_value());
+            CHECK(page.value().entries == both);
+        }
+    }
+    SUBCASE("at the end of a page, and the next page is asked for")
+    {
+        const auto page = readItems(first + R"(,{"key":"b","value":5,"offset":2})", "true");
+        REQUIRE(page.has_value());
+        CHECK(page.value().nextAfter == "b");
+        const auto nameless = readItems(first + R"(,{"value":5,"offset":2})", "true");
+        REQUIRE(nameless.has_value());
+        CHECK(nameless.value().nextAfter == "a");
+    }
+    SUBCASE("alone on a page")
+    {
+        const auto page = readItems(R"({"key":"b","value":5,"offset":2})", "true");
+        REQUIRE(page.has_value());
+        CHECK(page.value().nextAfter == "b");
+    }
+    SUBCASE("among the changes, which keep their offsets")
+    {
+        for (const std::string &odd : {number(0, 4), number(1, 4) + number(9, 1)}) {
+            const std::string body = number(12, 8) + number(3, 8) + keyedRecord("a", "xy") + odd
+                                     + keyedRecord("c", "xy");
+            const auto changes = protocol().readChanges({200, {}, makeBody(body)}, 4);
+            REQUIRE(changes.has_value());
+            REQUIRE(changes.value().entries.size() == 3);
+            CHECK(changes.value().entries[0] == StoreEntry{"a", "xy", 4});
+            CHECK(changes.value().entries[1] == StoreEntry{"", "", 5});
+            CHECK(changes.value().entries[2] == StoreEntry{"c", "xy", 6});
+        }
+    }
+}
+
 TEST_CASE("Random changes to what is read end no node")
 {
     std::mt19937_64 random(20'261'205);
