--- a/Tests/Platform/TestOddEntries.cpp
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -148,6 +148,13 @@
     }
 }
 
+TEST_CASE("A key of any bytes can be continued after")
+{
+    const std::string target
+            = protocol().newestRequest(StoreTopic::Directory, "a b&c\r\n\xFF%/~.-_").target;
+    CHECK(target.ends_with("&after=a%20b%26c%0D%0A%FF%25%2F~.-_"));
+}
+
 TEST_CASE("Random changes to what is read end no node")
 {
     std::mt19937_64 random(20'261'205);
