LibSettings: Refuse addresses that are no IPv4 address

An entry of another writer in the directory, or a heartbeat, with an address such as "somewhere:80" was taken for one to use. The node would then connect to 0.0.0.0, that is to itself.

Cause: parseEndpoint() checked only the port. addressOf() ignores what inet_pton() cannot read and leaves the address 0.

Why it works: parseEndpoint() reads the address with inet_pton() as well, so every endpoint that it returns can be connected to.

--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -1,5 +1,7 @@
 #include <LibSettings/Settings.h>
 
+#include <arpa/inet.h>
+
 #include <charconv>
 
 namespace chive {
@@ -20,7 +22,12 @@
     if (error != std::errc() || end != digits.data() + digits.size() || port == 0)
         return Error{Error::Kind::Invalid,
                      "expected a port of 1 to 65535 in '" + std::string(text) + "'"};
-    return Endpoint{std::string(text.substr(0, colon)), port};
+    Endpoint endpoint{std::string(text.substr(0, colon)), port};
+    in_addr address{};
+    if (inet_pton(AF_INET, endpoint.ip.c_str(), &address) != 1)
+        return Error{Error::Kind::Invalid,
+                     "expected an IPv4 address in '" + std::string(text) + "'"};
+    return endpoint;
 }
 
 bool usesLog(const Settings &settings)
--- a/Tests/Platform/TestOddEntries.cpp
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -84,9 +84,9 @@
     }
     SUBCASE("a port out of range, or no address")
     {
-        for (const auto *address :
-             {"10.0.0.9:65536", "10.0.0.9:0", "10.0.0.9:-1", "10.0.0.9:", "10.0.0.9", ":80",
-              "10.0.0.9:99999999999999999999", "10.0.0.9:80x"})
+        for (const auto *address : {"10.0.0.9:65536", "10.0.0.9:0", "10.0.0.9:-1",
+                                    "10.0.0.9:", "10.0.0.9", ":80", "10.0.0.9:99999999999999999999",
+                                    "10.0.0.9:80x", "10.0.0.999:80", "somewhere:80", "1.2.3:80"})
             CHECK_FALSE(readHeartbeat(heartbeat(address, "4", "1")).has_value());
     }
 }
