LibHttp: Give up responses that consist of framing without end

A faulty target that sends interim responses or chunk extensions without end would occupy the node with reading until the caller's deadline, and a head of thousands of empty fields would take many times its size in memory.

Cause: http_parser limits each head, chunk line and trailer to 80 KB, not their sum, and it says nothing on the number of fields.

Evidence: on the code before, "A response without end is given up" in TestLibHttp took 64 MiB of interim responses and of chunks of one byte with an extension each and asked for more, and "A head of very many fields is given up" took all 10,000 fields. They pass now. Header lines, one long line, bodies with and without a length, chunks, one endless extension, trailers and blank lines were given up before.

Why it works: a reader counts the bytes that are not of the body over all interim responses and allows 512 KiB and eight for each byte of the body, and it allows 1,000 fields. Beyond that the response is malformed: the client closes the connection and the request counts as one that may have run.

--- a/Libraries/LibHttp/ResponseReader.cpp
+++ b/Libraries/LibHttp/ResponseReader.cpp
@@ -9,6 +9,11 @@
 namespace {
 
 constexpr int firstFinalStatus = 200; ///< RFC 9110 section 15: 1xx are interim responses.
+constexpr std::size_t maximumHeaders = 1'000;
+/// Bytes of heads, interim responses and trailers. The parser limits each of them, not their sum.
+constexpr std::size_t maximumOverhead = 512 * 1024;
+/// A chunk of one byte has a framing of five.
+constexpr std::size_t maximumOverheadPerBodyByte = 8;
 
 } // namespace
 
@@ -20,6 +25,7 @@
     bool isHead = false;
     bool isNameOpen = false; ///< The latest header bytes belong to a name.
     std::size_t maximumBodySize = 0;
+    std::size_t bytesTaken = 0; ///< With those of interim responses.
     HttpResponse response;
     std::string body;
 
@@ -34,11 +40,20 @@
         isNameOpen = false;
     }
 
+    [[nodiscard]] bool hasTooMuchOverhead() const
+    {
+        return bytesTaken - body.size()
+               > maximumOverhead + maximumOverheadPerBodyByte * body.size();
+    }
+
     static int onHeaderName(http_parser *machine, const char *bytes, std::size_t size)
     {
         Parser &self = of(machine);
-        if (!std::exchange(self.isNameOpen, true))
+        if (!std::exchange(self.isNameOpen, true)) {
+            if (self.response.headers.size() == maximumHeaders)
+                return 1;
             self.response.headers.emplace_back();
+        }
         self.response.headers.back().first.append(bytes, size);
         return 0;
     }
@@ -100,10 +115,13 @@
     while (taken < bytes.size()
            && (parser.state == State::Empty || parser.state == State::Reading)) {
         parser.state = State::Reading;
-        taken += http_parser_execute(&parser.machine, &parser.callbacks, bytes.data() + taken,
-                                     bytes.size() - taken);
+        const std::size_t size = http_parser_execute(&parser.machine, &parser.callbacks,
+                                                     bytes.data() + taken, bytes.size() - taken);
+        taken += size;
+        parser.bytesTaken += size;
         const auto error = HTTP_PARSER_ERRNO(&parser.machine);
-        if (error != HPE_OK && error != HPE_PAUSED)
+        const bool isOpen = parser.state == State::Reading;
+        if ((error != HPE_OK && error != HPE_PAUSED) || (isOpen && parser.hasTooMuchOverhead()))
             parser.state = State::Malformed;
         else if (error == HPE_PAUSED && parser.state == State::Reading)
             parser.reset(); // An interim response has ended.
--- a/Libraries/LibHttp/ResponseReader.h
+++ b/Libraries/LibHttp/ResponseReader.h
@@ -19,7 +19,7 @@
         Empty,     ///< No byte of a response has come.
         Reading,   ///< A part has come.
         Complete,  ///< The whole response has come.
-        Malformed, ///< The bytes are no response, or the body is larger than allowed.
+        Malformed, ///< The bytes are no response, or there are more of them than allowed.
     };
 
     /// `method` is that of the request, which decides whether there is a body.
--- /dev/null
+++ b/Tests/LibHttp/TestEndlessResponse.cpp
@@ -0,0 +1,86 @@
+#include <LibHttp/ResponseReader.h>
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <string_view>
+
+using namespace chive;
+
+namespace {
+
+constexpr std::size_t bodyLimit = 1024 * 1024;
+constexpr std::size_t endless = 64 * 1024 * 1024; // bytes
+using State = ResponseReader::State;
+
+/// How many bytes a reader takes of a beginning and an endless repetition before it gives up.
+std::size_t bytesTaken(std::string_view beginning, std::string_view repeated)
+{
+    ResponseReader reader("GET", bodyLimit);
+    std::size_t taken = reader.feed(beginning);
+    std::string block;
+    while (block.size() < 4'000)
+        block.append(repeated);
+    while (taken < endless && reader.state() == State::Reading)
+        taken += reader.feed(block);
+    CHECK(reader.state() == State::Malformed);
+    return taken;
+}
+
+} // namespace
+
+TEST_CASE("A response without end is given up")
+{
+    constexpr std::size_t most = 2 * bodyLimit;
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    SUBCASE("of header lines")
+    {
+        CHECK(bytesTaken("HTTP/1.1 200 OK\r\n", "X-More: 1\r\n") < most);
+    }
+    SUBCASE("of one header line")
+    {
+        CHECK(bytesTaken("HTTP/1.1 200 OK\r\nX-Long: ", "x") < most);
+    }
+    SUBCASE("of interim responses")
+    {
+        CHECK(bytesTaken("HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n") < most);
+    }
+    SUBCASE("of a body with a length")
+    {
+        CHECK(bytesTaken("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "x") < most);
+    }
+    SUBCASE("of a body without a length")
+    {
+        CHECK(bytesTaken("HTTP/1.1 200 OK\r\n\r\n", "x") < most);
+    }
+    SUBCASE("of chunks")
+    {
+        CHECK(bytesTaken(chunked, "5\r\nxxxxx\r\n") < 4 * most);
+    }
+    SUBCASE("of one chunk's extension")
+    {
+        CHECK(bytesTaken(chunked + "5;", "x") < most);
+    }
+    SUBCASE("of chunks that are mostly extension")
+    {
+        CHECK(bytesTaken(chunked, "1;" + std::string(3'900, 'x') + "\r\nx\r\n") < 4 * most);
+    }
+    SUBCASE("of trailer fields")
+    {
+        CHECK(bytesTaken(chunked + "0\r\n", "X-More: 1\r\n") < most);
+    }
+    SUBCASE("of blank lines")
+    {
+        CHECK(bytesTaken("\r\n", "\r\n") < most);
+    }
+}
+
+TEST_CASE("A head of very many fields is given up")
+{
+    ResponseReader reader("GET", bodyLimit);
+    reader.feed("HTTP/1.1 200 OK\r\n");
+    for (int i = 0; i < 10'000 && reader.state() == State::Reading; ++i)
+        reader.feed("a:\r\n");
+    CHECK(reader.state() == State::Malformed);
+}
