LibHttp: Drop the trailers of responses

A field behind the body of a chunked response counted as one of its head, so that a caller could be told "not run" for an answer with a not-run field in its trailer, or a response without an id in its head be tied to a request.

Cause: ResponseReader added every field to the headers. RFC 9110 section 6.5.1 allows this only for fields whose definition permits it.

Evidence: on the code before, "A trailer is no header" in TestLibHttp failed, as the trailer's field was found among the headers; it passes now.

Why it works: fields that come after the head is complete are dropped.

--- a/Libraries/LibHttp/ResponseReader.cpp
+++ b/Libraries/LibHttp/ResponseReader.cpp
@@ -24,6 +24,7 @@
     State state = State::Empty;
     bool isHead = false;
     bool isNameOpen = false; ///< The latest header bytes belong to a name.
+    bool isHeadRead = false; ///< Fields that follow are trailers, which are dropped.
     std::size_t maximumBodySize = 0;
     std::size_t bytesTaken = 0; ///< With those of interim responses.
     HttpResponse response;
@@ -38,6 +39,7 @@
         response = {};
         body.clear();
         isNameOpen = false;
+        isHeadRead = false;
     }
 
     [[nodiscard]] bool hasTooMuchOverhead() const
@@ -49,6 +51,8 @@
     static int onHeaderName(http_parser *machine, const char *bytes, std::size_t size)
     {
         Parser &self = of(machine);
+        if (self.isHeadRead)
+            return 0;
         if (!std::exchange(self.isNameOpen, true)) {
             if (self.response.headers.size() == maximumHeaders)
                 return 1;
@@ -61,6 +65,8 @@
     static int onHeaderValue(http_parser *machine, const char *bytes, std::size_t size)
     {
         Parser &self = of(machine);
+        if (self.isHeadRead)
+            return 0;
         self.isNameOpen = false;
         self.response.headers.back().second.append(bytes, size);
         return 0;
@@ -69,7 +75,9 @@
     static int onHeadersComplete(http_parser *machine)
     {
         constexpr int skipBody = 1;
-        return of(machine).isHead ? skipBody : 0;
+        Parser &self = of(machine);
+        self.isHeadRead = true;
+        return self.isHead ? skipBody : 0;
     }
 
     static int onBody(http_parser *machine, const char *bytes, std::size_t size)
--- a/Libraries/LibHttp/ResponseReader.h
+++ b/Libraries/LibHttp/ResponseReader.h
@@ -11,7 +11,7 @@
 namespace chive {
 
 /// Reads one HTTP/1.1 response (RFC 9112) from bytes as they come, by http_parser. It knows no
-/// socket. Interim responses (1xx) are skipped.
+/// socket. Interim responses (1xx) are skipped, trailers dropped.
 class ResponseReader
 {
 public:
--- a/Tests/LibHttp/TestResponseReader.cpp
+++ b/Tests/LibHttp/TestResponseReader.cpp
@@ -53,6 +53,17 @@
     CHECK(bytesOf(reader.take().body) == "body");
 }
 
+TEST_CASE("A trailer is no header")
+{
+    ResponseReader reader("GET", bodyLimit);
+    reader.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Id: 1\r\n\r\n"
+                "1\r\nx\r\n0\r\nX-Id: 2\r\nX-Verdict: refused\r\n\r\n");
+    REQUIRE(reader.state() == State::Complete);
+    const HttpResponse response = reader.take();
+    CHECK(findHeader(response.headers, "X-Id") == "1");
+    CHECK(findHeader(response.headers, "X-Verdict").empty());
+}
+
 TEST_CASE("A body without a length ends with an orderly close only")
 {
     ResponseReader reader("GET", bodyLimit);
