LibHttp: Skip a bounded number of responses to other requests

A faulty target that sends responses to another request without end would occupy the node with reading them until the caller's deadline, on each connection.

Cause: HttpClient skips a response that bears another id and waits for the next, however often.

Evidence: on the code before, "Responses to other requests without end fail the request and close its connection" in TestLibHttp ended only with the timeout of 3 s ("no response in time"); it passes now, and the other request of the test is answered.

Why it works: after 16 responses to other requests the connection is closed and the request fails as one that may have run. A connection is not used again once one response has been skipped, so no more than a few late ones can add up on it.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -32,6 +32,8 @@
 
 /// A connection is closed after so many failures, which bounds what it remembers of them.
 constexpr std::size_t maximumFailures = 256;
+/// Responses to other requests that may come ahead of the one that is due.
+constexpr std::size_t maximumSkipped = 16;
 
 HttpClient::RequestId nextRequestId()
 {
@@ -165,7 +167,7 @@
     ResponseRules rules;
     std::unique_ptr<Connection> connection;
     std::unique_ptr<ResponseReader> reader;
-    bool hasSkipped = false; ///< A response to another request has come before.
+    std::size_t skipped = 0; ///< Responses to other requests that have come before.
     Callback callback;
     Timer limit;
 };
@@ -262,13 +264,16 @@
     const bool isTied = expectsEcho && echoed == echo.value;
     if (!echoed.empty() && !isTied) {
         // A late second response to the request before. The one that is due may still follow.
-        active.hasSkipped = true;
+        if (++active.skipped > maximumSkipped) {
+            fail(active, "the server sends responses to other requests");
+            return;
+        }
         active.reader = std::make_unique<ResponseReader>(active.method, maximumBodySize_);
         return;
     }
     Connection &connection = *active.connection;
     const bool isFirst = !std::exchange(connection.hasAnswered, true);
-    if (expectsEcho && !isTied && (!isFirst || active.hasSkipped)) {
+    if (expectsEcho && !isTied && (!isFirst || active.skipped > 0)) {
         fail(active, "the response does not say to which request it belongs");
         return;
     }
@@ -278,7 +283,7 @@
     const bool isTrusted = !expectsEcho && trustsServer_;
     if (isTied && isFailure(response.status))
         connection.noteFailure(echoed);
-    const bool isReusable = (isTied || isTrusted) && !active.hasSkipped && isQuiet
+    const bool isReusable = (isTied || isTrusted) && active.skipped == 0 && isQuiet
                             && connection.failures.size() < maximumFailures
                             && active.reader->keepsConnection();
     finish(active, std::move(response), isReusable);
--- a/Tests/LibHttp/TestEndlessResponse.cpp
+++ b/Tests/LibHttp/TestEndlessResponse.cpp
@@ -1,7 +1,12 @@
+#include <LibHttp/HttpClient.h>
+#include <LibHttp/HttpServer.h>
 #include <LibHttp/ResponseReader.h>
+#include <LibKernel/EventLoop.h>
 
 #include <doctest/doctest.h>
 
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -10,7 +15,9 @@
 namespace {
 
 constexpr std::size_t bodyLimit = 1024 * 1024;
-constexpr std::size_t endless = 64 * 1024 * 1024; // bytes
+constexpr std::size_t tooMany = 64 * 1024 * 1024; // bytes
+constexpr Milliseconds patience{3'000};
+const Endpoint endpoint{"127.0.0.1", 19'473};
 using State = ResponseReader::State;
 
 /// How many bytes a reader takes of a beginning and an endless repetition before it gives up.
@@ -21,7 +28,7 @@
     std::string block;
     while (block.size() < 4'000)
         block.append(repeated);
-    while (taken < endless && reader.state() == State::Reading)
+    while (taken < tooMany && reader.state() == State::Reading)
         taken += reader.feed(block);
     CHECK(reader.state() == State::Malformed);
     return taken;
@@ -84,3 +91,48 @@
         reader.feed("a:\r\n");
     CHECK(reader.state() == State::Malformed);
 }
+
+TEST_CASE("Responses to other requests without end fail the request and close its connection")
+{
+    EventLoop loop;
+    bool isGone = false;
+    std::shared_ptr<HttpExchange> flooded;
+    Timer flood;
+    auto server = HttpServer::listen(
+            loop, endpoint, bodyLimit, [&](const HttpRequest &request, const auto &exchange) {
+                if (request.target == "/sound") {
+                    exchange->respond({200, {{"X-Id", "own"}}, nullptr});
+                    return;
+                }
+                flooded = exchange;
+                exchange->onPeerGone([&] { isGone = true; });
+                flood = loop.every(Milliseconds(1), [&] {
+                    for (int i = 0; i < 100 && !isGone; ++i)
+                        flooded->writeRaw(
+                                "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n");
+                });
+            });
+    REQUIRE(server.has_value());
+    HttpClient client(loop, endpoint, bodyLimit);
+    const ResponseRules rules{{"X-Id", "own"}};
+    std::optional<HttpClient::Outcome> endless;
+    std::optional<HttpClient::Outcome> sound;
+    client.send(
+            {}, patience, [&](auto outcome) { endless = std::move(outcome); }, rules);
+    client.send(
+            {"GET", "/sound", {}, nullptr}, patience,
+            [&](auto outcome) { sound = std::move(outcome); }, rules);
+    const Timer step = loop.every(Milliseconds(1), [&] {
+        if (endless && sound && isGone)
+            loop.stop();
+    });
+    const Timer limit = loop.after(patience * 2, [&] { loop.stop(); });
+    loop.run();
+    CHECK(isGone);
+    REQUIRE(sound.has_value());
+    CHECK(sound->has_value());
+    REQUIRE(endless.has_value());
+    REQUIRE_FALSE(endless->has_value());
+    CHECK(endless->error().stage == HttpFailure::Stage::Incomplete);
+    CHECK(endless->error().message == "the server sends responses to other requests");
+}
