LibHttp: Bound the bytes of all responses that a node receives at once

A faulty target that sends bodies without end on many connections would make the node hold up to maximum_body_bytes for each of them, 64 MB on the platform, and the node would exceed its memory. Callers would see their connections closed.

Cause: the only bound was that of one body.

Evidence: with the new check switched off, "Bodies without end on many connections do not exhaust the memory" in TestLibHttp held 16,777,216 bytes for 32 responses where 2,097,152 are allowed, and no request failed; it passes now. The test needs the new limitBytesHeld(), so it does not build on the code before.

Why it works: a client counts the bytes of bodies that are being received. Beyond maximum_held_bytes the request with the largest one fails as one that may have run and its connection is closed, so the others go on.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -244,19 +244,32 @@
             return;
         const auto *bytes = reinterpret_cast<const char *>(
                 evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
+        const std::size_t held = active.reader->bytesHeld();
         evbuffer_drain(input, active.reader->feed({bytes, size}));
+        bytesHeld_ += active.reader->bytesHeld() - held;
         if (active.reader->state() == ResponseReader::State::Complete)
             handleResponse(active);
         else if (active.reader->state() == ResponseReader::State::Malformed)
             fail(active, "the server sent bytes that are no response");
+        if (bytesHeld_ > maximumBytesHeld_)
+            failLargest();
     }
     // Nobody asked for these bytes: no request may follow on this connection.
     if (evbuffer_get_length(input) > 0)
         dropIdle(connection);
 }
 
+void HttpClient::failLargest()
+{
+    const auto largest = std::ranges::max_element(
+            active_, {}, [](const auto &entry) { return entry.second->reader->bytesHeld(); });
+    if (largest != active_.end())
+        fail(*largest->second, "the server's responses exceed the memory for them");
+}
+
 void HttpClient::handleResponse(Active &active)
 {
+    bytesHeld_ -= active.reader->bytesHeld();
     HttpResponse response = active.reader->take();
     const EchoedHeader &echo = active.rules.echo;
     const bool expectsEcho = !echo.name.empty();
@@ -360,6 +373,7 @@
     const auto found = active_.find(active.id);
     std::shared_ptr<Active> ended = std::move(found->second);
     active_.erase(found);
+    bytesHeld_ -= ended->reader->bytesHeld();
     ended->limit.cancel();
     std::unique_ptr<Connection> connection = std::move(ended->connection);
     connection->active = nullptr;
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -79,6 +80,13 @@
     /// while nothing is due on them.
     void detectSilentConnections() { detectsSilence_ = true; }
 
+    /// From now on, the bodies of responses that are being received take at most that many bytes
+    /// together. Beyond that the request with the largest one fails.
+    void limitBytesHeld(std::size_t most) { maximumBytesHeld_ = most; }
+
+    /// Bytes of the bodies of responses that are being received.
+    [[nodiscard]] std::size_t bytesHeld() const { return bytesHeld_; }
+
     /// Sends the request; calls back exactly once, never inside this call. A request without a
     /// response after the timeout fails.
     RequestId send(const HttpRequest &request, Milliseconds timeout, Callback callback,
@@ -98,6 +106,7 @@
     void handleReadable(Connection &connection);
     void handleEvent(Connection &connection, short what);
     void handleResponse(Active &active);
+    void failLargest();
     void fail(Active &active, std::string message);
     void finish(Active &active, Outcome outcome, bool isReusable);
     void dropIdle(const Connection &connection);
@@ -107,6 +116,8 @@
     EventLoop &loop_;
     Endpoint server_;
     std::size_t maximumBodySize_;
+    std::size_t maximumBytesHeld_ = std::numeric_limits<std::size_t>::max();
+    std::size_t bytesHeld_ = 0;
     bool trustsServer_ = false;
     bool detectsSilence_ = false;
     std::map<RequestId, std::unique_ptr<Active>> active_;
--- a/Libraries/LibHttp/ResponseReader.cpp
+++ b/Libraries/LibHttp/ResponseReader.cpp
@@ -152,6 +152,11 @@
     return parser_->state;
 }
 
+std::size_t ResponseReader::bytesHeld() const
+{
+    return parser_->body.size();
+}
+
 bool ResponseReader::keepsConnection() const
 {
     return http_should_keep_alive(&parser_->machine) != 0;
--- a/Libraries/LibHttp/ResponseReader.h
+++ b/Libraries/LibHttp/ResponseReader.h
@@ -36,6 +36,9 @@
 
     [[nodiscard]] State state() const;
 
+    /// Of the body.
+    [[nodiscard]] std::size_t bytesHeld() const;
+
     /// Whether the server keeps the connection open after this response.
     [[nodiscard]] bool keepsConnection() const;
 
--- a/Services/Node/LocalTarget.cpp
+++ b/Services/Node/LocalTarget.cpp
@@ -142,6 +142,7 @@
         retiredClients_.push_back(std::move(client_));
     client_ = std::make_unique<HttpClient>(kernel_.loop(), announcement_.endpoint,
                                            kernel_.settings().maximumBodySize);
+    client_->limitBytesHeld(kernel_.settings().maximumBytesHeld);
 }
 
 void LocalTarget::publishChange()
--- a/Tests/LibHttp/TestEndlessResponse.cpp
+++ b/Tests/LibHttp/TestEndlessResponse.cpp
@@ -5,10 +5,12 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 using namespace chive;
 
@@ -136,3 +138,55 @@
     CHECK(endless->error().stage == HttpFailure::Stage::Incomplete);
     CHECK(endless->error().message == "the server sends responses to other requests");
 }
+
+TEST_CASE("Bodies without end on many connections do not exhaust the memory")
+{
+    constexpr std::size_t connections = 32;
+    constexpr std::size_t blockSize = 64 * 1024;
+    constexpr std::size_t maximumBytesHeld = 2 * bodyLimit;
+    EventLoop loop;
+    std::vector<std::shared_ptr<HttpExchange>> flooded;
+    const std::string block(blockSize, 'x');
+    auto server = HttpServer::listen(
+            loop, endpoint, bodyLimit, [&](const HttpRequest &request, const auto &exchange) {
+                if (request.target == "/sound") {
+                    exchange->writeRaw("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nha");
+                    exchange->writeRaw("lf");
+                    exchange->abandon();
+                    return;
+                }
+                exchange->writeRaw("HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n");
+                flooded.push_back(exchange);
+            });
+    REQUIRE(server.has_value());
+    HttpClient client(loop, endpoint, bodyLimit);
+    client.limitBytesHeld(maximumBytesHeld);
+    std::size_t failed = 0;
+    for (std::size_t i = 0; i < connections; ++i) {
+        client.send({}, patience, [&](auto outcome) {
+            if (!outcome.has_value() && outcome.error().stage == HttpFailure::Stage::Incomplete)
+                ++failed;
+        });
+    }
+    std::size_t mostHeld = 0;
+    int blocks = 0;
+    std::optional<HttpClient::Outcome> sound;
+    const Timer flood = loop.every(Milliseconds(2), [&] {
+        mostHeld = std::max(mostHeld, client.bytesHeld());
+        if (flooded.size() == connections && ++blocks <= 8) {
+            for (const auto &exchange : flooded)
+                exchange->writeRaw(block);
+        }
+        if (blocks == 6)
+            client.send({"GET", "/sound", {}, nullptr}, patience,
+                        [&](auto outcome) { sound = std::move(outcome); });
+        if (sound && blocks > 20)
+            loop.stop();
+    });
+    const Timer limit = loop.after(patience / 2, [&] { loop.stop(); });
+    loop.run();
+    CHECK(mostHeld <= maximumBytesHeld);
+    CHECK(failed > 0);
+    REQUIRE(sound.has_value());
+    CHECK(sound->has_value());
+}
