StoreDirectoryTask: Write the entry again that the store has lost

What operators would see: a node that had written its entry shortly before the store went back to an older copy was missing from the directory for the rest of its life. Nodes that started later did not find it; had all entries been lost, they would have found nobody, and no configuration from peers.

Cause: 'is listed' was remembered once a write had been acknowledged or the entry had been read, and no later read could take it back.

Now each whole read decides: if it lacks the entry, or has another value, the entry is written, unless a write is already under way. Nothing is written while the entry is there.

--- a/Services/Node/StoreDirectoryTask.cpp
+++ b/Services/Node/StoreDirectoryTask.cpp
@@ -15,8 +15,8 @@
 constexpr std::int64_t maximumPutRetryDelay = 1'000; // ms
 
 /// Maintains the directory of nodes in the store. Each node has one entry that maps its id to its
-/// link endpoint, written only when it differs from the stored one. The directory does not track
-/// whether a node is alive.
+/// link endpoint, written only when a whole read lacks it or differs from it. The directory does
+/// not track whether a node is alive.
 class StoreDirectoryTask final : public Task
 {
 public:
@@ -39,25 +39,27 @@
     {
         if (read.topic != StoreTopic::Directory)
             return;
+        bool isListed = false;
         for (const StoreEntry &entry : read.entries)
-            handleEntry(entry);
-        if (read.isWhole && !isListed_ && putToken_ == 0)
+            isListed = handleEntry(entry) || isListed;
+        if (read.isWhole && !isListed && putToken_ == 0)
             putEntry();
     }
 
-    void handleEntry(const StoreEntry &entry)
+    /// Returns whether the entry is this node's and holds its current endpoint.
+    bool handleEntry(const StoreEntry &entry)
     {
         const auto links = parseEndpoint(entry.value);
         if (!links.has_value()) {
             LOG(WARNING) << "task=directory event=entry-ignored node=" << entry.key
                          << " offset=" << entry.offset << " error=\"" << links.error().message
                          << '"';
-            return;
+            return false;
         }
-        if (entry.key != self_.nodeId)
-            kernel_.bus().post(ContactFound{links.value()});
-        else if (links.value() == self_.links)
-            isListed_ = true;
+        if (entry.key == self_.nodeId)
+            return links.value() == self_.links;
+        kernel_.bus().post(ContactFound{links.value()});
+        return false;
     }
 
     void putEntry()
@@ -72,7 +74,7 @@
         if (ended.token != putToken_)
             return;
         if (ended.isWritten) {
-            isListed_ = true;
+            putToken_ = 0;
             return;
         }
         // A failed write may have succeeded; writing the same entry again is harmless.
@@ -83,8 +85,7 @@
 
     Kernel &kernel_;
     Member self_;
-    bool isListed_ = false; ///< The store holds this node's current endpoint.
-    Token putToken_ = 0;
+    Token putToken_ = 0; ///< Of the write under way, retries included; 0: none.
     std::mt19937_64 random_{std::random_device{}()};
     Timer retryTimer_;
 };
--- a/Tests/Platform/TestRestoredStore.cpp
+++ b/Tests/Platform/TestRestoredStore.cpp
@@ -134,3 +134,38 @@
         }
     }
 }
+
+TEST_CASE("A node's entry that the store has lost is written again")
+{
+    Node node({"store", "store-directory"});
+    const StoreStandIn::Topics copy;
+    Member self;
+    self.nodeId = "node-1";
+    self.links = {"127.0.0.1", 1};
+    const auto isListed = [&] {
+        return node.store.newest(directory)
+               == std::map<std::string, std::string>{{"node-1", "127.0.0.1:1"}};
+    };
+    node.kernel.bus().post(FollowTopic{StoreTopic::Configuration});
+    node.kernel.bus().post(AnnounceNode{self});
+    REQUIRE(node.waitUntil(isListed));
+    node.wait(Milliseconds(100));
+
+    SUBCASE("once per restore")
+    {
+        for (int i = 0; i < 2; ++i) {
+            node.store.restore(copy, StoreStandIn::Polls::Broken);
+            CHECK(node.waitUntil(isListed));
+        }
+        node.wait(Milliseconds(1'500));
+        CHECK(node.store.copy().at(std::string(directory)).size() == 1);
+    }
+
+    SUBCASE("also when the copy has an older value of it")
+    {
+        StoreStandIn::Topics older;
+        older[std::string(directory)].emplace_back("node-1", "127.0.0.1:2");
+        node.store.restore(older, StoreStandIn::Polls::Broken);
+        CHECK(node.waitUntil(isListed));
+    }
+}
