ConfigurationTask: Take a version from the store again when its record changed

What operators would see: a version that the store lost in a restore may be given out again with other contents. A node that had the lost one in force kept it until the next version, while a node that started later had the new one: two configurations under one version, for as long as nothing else was written.

Cause: only the version was compared.

A record of the version in force that differs from it replaces it if it comes from the store, which only operators write. From a peer it does not, as the peer may still hold the record that was replaced. A lower version still changes nothing.

Evidence: TestRestoredStore, 'The configuration in force never goes back to what an older copy of the store holds': 'but follows the store when the lost version's number gets other contents' failed before. The rest of that test passed before, too: the version never fell.

--- a/Services/Node/ConfigurationTask.cpp
+++ b/Services/Node/ConfigurationTask.cpp
@@ -23,9 +23,10 @@
 constexpr Milliseconds gossipInterval{250};
 /// Random peers that receive each announcement.
 constexpr std::size_t peersPerRound = 2;
+constexpr std::string_view storeSource = "store";
 
 /// Maintains the configuration in force: the newest version received from the store or a peer.
-/// Within one process the version only increases.
+/// Within one process the version never decreases.
 class ConfigurationTask final : public Task
 {
 public:
@@ -65,7 +66,7 @@
             return;
         for (const StoreEntry &entry : read.entries) {
             if (entry.key == protocol_.configurationKey && !entry.value.empty())
-                applyRecord(entry.value, "store");
+                applyRecord(entry.value, storeSource);
         }
     }
 
@@ -77,7 +78,11 @@
                          << " error=\"" << catalogue.error().message << '"';
             return;
         }
-        if (catalogue.value().version <= version_)
+        // Operators write to the store only, so a version whose record they replace is taken from
+        // there. Peers may still hold the record that was replaced.
+        const bool isReplaced = source == storeSource && catalogue.value().version == version_
+                                && record != *latestRecord_;
+        if (catalogue.value().version <= version_ && !isReplaced)
             return;
         version_ = catalogue.value().version;
         source_ = source;
--- a/Tests/Platform/TestRestoredStore.cpp
+++ b/Tests/Platform/TestRestoredStore.cpp
@@ -3,6 +3,7 @@
 #include <Platform/StoreStandIn.h>
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <initializer_list>
@@ -40,6 +41,7 @@
     StoreStandIn store{kernel.loop(), storeEndpoint};
     std::vector<std::unique_ptr<Task>> tasks;
     std::map<StoreTopic, std::map<std::string, std::string>> seen;
+    std::vector<std::shared_ptr<const Catalogue>> catalogues; ///< In the order of taking effect.
 
     explicit Node(std::initializer_list<std::string_view> names)
     {
@@ -48,6 +50,9 @@
             REQUIRE(plugin != nullptr);
             tasks.push_back(plugin->create(kernel));
         }
+        kernel.bus().subscribe<CatalogueChanged>([this](const CatalogueChanged &changed) {
+            catalogues.push_back(changed.catalogue);
+        });
         kernel.bus().subscribe<StoreRead>([this](const StoreRead &read) {
             auto &values = seen[read.topic];
             if (read.isWhole)
@@ -169,3 +174,40 @@
         CHECK(node.waitUntil(isListed));
     }
 }
+
+TEST_CASE("The configuration in force never goes back to what an older copy of the store holds")
+{
+    const auto record = [](int version, int idleTimeout) {
+        return nlohmann::json{{"version", version},
+                              {"services", nlohmann::json::array()},
+                              {"virtualHosts", nlohmann::json::array()},
+                              {"limits", {{"idleTimeoutS", idleTimeout}}}}
+                .dump();
+    };
+    Node node({"store", "configuration"});
+    node.store.write(configuration, "config", record(1, 10));
+    const StoreStandIn::Topics copy = node.store.copy();
+    node.store.write(configuration, "config", record(3, 30));
+    node.tasks.back()->start();
+    REQUIRE(node.waitUntil([&] { return node.catalogues.size() == 1; }));
+    CHECK(node.catalogues.back()->version == 3);
+    node.wait(Milliseconds(100)); // Until its long poll is open.
+    node.store.restore(copy, StoreStandIn::Polls::Broken);
+    REQUIRE(node.hasSeen(StoreTopic::Configuration, configuration));
+    CHECK(node.catalogues.size() == 1);
+
+    SUBCASE("nor changes when the lost version is written again")
+    {
+        node.store.write(configuration, "config", record(3, 30));
+        CHECK(node.hasSeen(StoreTopic::Configuration, configuration));
+        CHECK(node.catalogues.size() == 1);
+    }
+
+    SUBCASE("but follows the store when the lost version's number gets other contents")
+    {
+        node.store.write(configuration, "config", record(3, 20));
+        REQUIRE(node.waitUntil([&] { return node.catalogues.size() == 2; }));
+        CHECK(node.catalogues.back()->version == 3);
+        CHECK(node.catalogues.back()->idleTimeout == std::chrono::seconds(20));
+    }
+}
