--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -13,6 +13,7 @@
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <functional>
 #include <utility>
 
 namespace chive {
@@ -29,6 +30,11 @@
 /// crosses the server's close.
 constexpr Milliseconds idleMargin{1'500};
 
+/// A connection is closed after so many failures, which bounds what it remembers of them.
+constexpr std::size_t maximumFailures = 256;
+/// Responses to other requests that may come ahead of the one that is due.
+constexpr std::size_t maximumSkipped = 16;
+
 HttpClient::RequestId nextRequestId()
 {
     static HttpClient::RequestId last = 0;
@@ -43,6 +49,13 @@
     return isOneOfHeaders(framing, name);
 }
 
+/// Whether the request may come again after this status, RFC 9110 sections 15.5 and 15.6.
+bool isFailure(int status)
+{
+    constexpr int leastFailure = 400;
+    return status >= leastFailure;
+}
+
 bool usuallyHasBody(std::string_view method)
 {
     return method == "POST" || method == "PUT" || method == "PATCH";
@@ -90,6 +103,7 @@
     bool hasAnswered = false;  ///< A response has come on it before.
     Milliseconds idleFor{0};
     Milliseconds idleLimit{0};
+    std::vector<std::size_t> failures; ///< Hashes of the echoed values of requests that failed.
 
     explicit Connection(HttpClient &owner)
         : client(owner)
@@ -128,6 +142,18 @@
         return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     }
 
+    void noteFailure(std::string_view echoed)
+    {
+        failures.push_back(std::hash<std::string_view>()(echoed));
+    }
+
+    /// Whether a request with this value has failed on it before. Were it sent once more, a late
+    /// second response to the first could not be told from the answer.
+    [[nodiscard]] bool hasFailed(std::string_view echoed) const
+    {
+        return std::ranges::find(failures, std::hash<std::string_view>()(echoed)) != failures.end();
+    }
+
     [[nodiscard]] bool hasUnsentBytes() const
     {
         return evbuffer_get_length(bufferevent_get_output(handle)) != 0;
@@ -141,7 +167,7 @@
     ResponseRules rules;
     std::unique_ptr<Connection> connection;
     std::unique_ptr<ResponseReader> reader;
-    bool hasSkipped = false; ///< A response to another request has come before.
+    std::size_t skipped = 0; ///< Responses to other requests that have come before.
     Callback callback;
     Timer limit;
 };
@@ -154,12 +180,15 @@
 
 HttpClient::~HttpClient() = default;
 
-std::unique_ptr<HttpClient::Connection> HttpClient::takeConnection()
+std::unique_ptr<HttpClient::Connection> HttpClient::takeConnection(std::string_view echoed)
 {
     // The most recently used connection is the least likely to have been closed by the server.
-    while (!idle_.empty()) {
-        auto connection = std::move(idle_.back());
-        idle_.pop_back();
+    for (auto next = idle_.end(); next != idle_.begin();) {
+        --next;
+        if (!echoed.empty() && (*next)->hasFailed(echoed))
+            continue;
+        auto connection = std::move(*next);
+        next = idle_.erase(next);
         if (!connection->isQuiet())
             continue;
         connection->bytesSent = 0;
@@ -178,7 +207,7 @@
     active.rules = std::move(rules);
     active.callback = std::move(callback);
     active.reader = std::make_unique<ResponseReader>(active.method, maximumBodySize_);
-    active.connection = takeConnection();
+    active.connection = takeConnection(active.rules.echo.value);
     active.connection->active = &active;
     active_.emplace(active.id, std::move(owned));
     active.limit = loop_.after(timeout, [this, id = active.id] {
@@ -215,19 +244,32 @@
             return;
         const auto *bytes = reinterpret_cast<const char *>(
                 evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
+        const std::size_t held = active.reader->bytesHeld();
         evbuffer_drain(input, active.reader->feed({bytes, size}));
+        bytesHeld_ += active.reader->bytesHeld() - held;
         if (active.reader->state() == ResponseReader::State::Complete)
             handleResponse(active);
         else if (active.reader->state() == ResponseReader::State::Malformed)
             fail(active, "the server sent bytes that are no response");
+        if (bytesHeld_ > maximumBytesHeld_)
+            failLargest();
     }
     // Nobody asked for these bytes: no request may follow on this connection.
     if (evbuffer_get_length(input) > 0)
         dropIdle(connection);
 }
 
+void HttpClient::failLargest()
+{
+    const auto largest = std::ranges::max_element(
+            active_, {}, [](const auto &entry) { return entry.second->reader->bytesHeld(); });
+    if (largest != active_.end())
+        fail(*largest->second, "the server's responses exceed the memory for them");
+}
+
 void HttpClient::handleResponse(Active &active)
 {
+    bytesHeld_ -= active.reader->bytesHeld();
     HttpResponse response = active.reader->take();
     const EchoedHeader &echo = active.rules.echo;
     const bool expectsEcho = !echo.name.empty();
@@ -235,13 +277,16 @@
     const bool isTied = expectsEcho && echoed == echo.value;
     if (!echoed.empty() && !isTied) {
         // A late second response to the request before. The one that is due may still follow.
-        active.hasSkipped = true;
+        if (++active.skipped > maximumSkipped) {
+            fail(active, "the server sends responses to other requests");
+            return;
+        }
         active.reader = std::make_unique<ResponseReader>(active.method, maximumBodySize_);
         return;
     }
     Connection &connection = *active.connection;
     const bool isFirst = !std::exchange(connection.hasAnswered, true);
-    if (expectsEcho && !isTied && (!isFirst || active.hasSkipped)) {
+    if (expectsEcho && !isTied && (!isFirst || active.skipped > 0)) {
         fail(active, "the response does not say to which request it belongs");
         return;
     }
@@ -249,7 +294,10 @@
     const bool isQuiet = evbuffer_get_length(bufferevent_get_input(connection.handle)) == 0
                          && !connection.hasUnsentBytes();
     const bool isTrusted = !expectsEcho && trustsServer_;
-    const bool isReusable = (isTied || isTrusted) && !active.hasSkipped && isQuiet
+    if (isTied && isFailure(response.status))
+        connection.noteFailure(echoed);
+    const bool isReusable = (isTied || isTrusted) && active.skipped == 0 && isQuiet
+                            && connection.failures.size() < maximumFailures
                             && active.reader->keepsConnection();
     finish(active, std::move(response), isReusable);
 }
@@ -325,6 +373,7 @@
     const auto found = active_.find(active.id);
     std::shared_ptr<Active> ended = std::move(found->second);
     active_.erase(found);
+    bytesHeld_ -= ended->reader->bytesHeld();
     ended->limit.cancel();
     std::unique_ptr<Connection> connection = std::move(ended->connection);
     connection->active = nullptr;
--- a/Libraries/LibHttp/ResponseReader.h
+++ b/Libraries/LibHttp/ResponseReader.h
@@ -11,7 +11,7 @@
 namespace chive {
 
 /// Reads one HTTP/1.1 response (RFC 9112) from bytes as they come, by http_parser. It knows no
-/// socket. Interim responses (1xx) are skipped.
+/// socket. Interim responses (1xx) are skipped, trailers dropped.
 class ResponseReader
 {
 public:
@@ -19,7 +19,7 @@
         Empty,     ///< No byte of a response has come.
         Reading,   ///< A part has come.
         Complete,  ///< The whole response has come.
-        Malformed, ///< The bytes are no response, or the body is larger than allowed.
+        Malformed, ///< The bytes are no response, or there are more of them than allowed.
     };
 
     /// `method` is that of the request, which decides whether there is a body.
@@ -36,6 +36,9 @@
 
     [[nodiscard]] State state() const;
 
+    /// Of the body.
+    [[nodiscard]] std::size_t bytesHeld() const;
+
     /// Whether the server keeps the connection open after this response.
     [[nodiscard]] bool keepsConnection() const;
 
--- a/Libraries/LibNode/DecisionLines.h
+++ b/Libraries/LibNode/DecisionLines.h
@@ -22,6 +22,9 @@
     std::optional<TargetLoad> load;  ///< Of the local target, for "run".
     Milliseconds left{0};            ///< Time to the deadline when the line is written.
     std::optional<double> share;     ///< Admitted share of the call's kind, for "request".
+    /// For "request" during a planned stop: when it came, counted from the beginning of the stop.
+    std::optional<Milliseconds> sinceStop = {};
+    std::optional<bool> isConnectionReused = {}; ///< For "request" during a planned stop.
 };
 
 [[nodiscard]] std::string decisionLine(const Call &call, const Judged<Answer> &result,
--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -4,6 +4,7 @@
 #include <LibLog/LogPage.h>
 #include <LibLog/StoreProtocol.h>
 #include <LibNode/Call.h>
+#include <LibNode/DrainSchedule.h>
 #include <LibNode/MeshPressure.h>
 #include <LibSettings/Settings.h>
 
@@ -57,6 +58,7 @@
 struct CancelCall
 {
     Token token = 0;
+    Reason reason = Reason::Cancelled;
 };
 
 // Links between nodes.
@@ -161,9 +163,15 @@
 
 /// Graceful shutdown has begun: announce it, accept no new work and finish the calls in flight.
 struct StopRequested
+{
+    DrainSchedule schedule;
+};
+
+/// The time for calls in flight is over (DrainSchedule::answersBy): each gets its verdict now.
+struct DrainExpired
 {};
 
-/// No call is in flight any more; the process may exit.
+/// No call was in flight when this was posted; the process exits if that still holds.
 struct Drained
 {};
 
@@ -187,7 +195,8 @@
     StoreTopic topic = StoreTopic::Configuration;
 };
 
-/// From the store task, in the store's order. A value may be reported twice.
+/// From the store task, in the store's order. A value may be reported twice. After the store came
+/// back from an older copy, a whole read may lack values that were reported before.
 struct StoreRead
 {
     StoreTopic topic = StoreTopic::Configuration;
--- a/Services/ChiveRouter/NodeCommand.cpp
+++ b/Services/ChiveRouter/NodeCommand.cpp
@@ -20,7 +20,8 @@
         kernel.loop().onSignal(SIGTERM, [this] { handleSignal(); });
         kernel.loop().onSignal(SIGINT, [this] { handleSignal(); });
         kernel.bus().subscribe<Drained>([this](const Drained &) {
-            if (!hasBegun_)
+            // A request may have come since the message was posted.
+            if (!hasBegun_ || kernel_.inFlight() != 0)
                 return;
             LOG(INFO) << "event=drained";
             kernel_.loop().stop();
@@ -38,14 +39,16 @@
         }
         hasBegun_ = true;
         LOG(INFO) << "event=stop-requested";
-        kernel_.bus().post(StopRequested{});
+        kernel_.bus().post(
+                StopRequested{drainScheduleOf(kernel_.settings(), kernel_.clock().now())});
         limit_ = kernel_.loop().after(kernel_.settings().drainTimeout,
                                       [this] { abandon("drain timeout"); });
     }
 
     void abandon(std::string_view cause)
     {
-        LOG(WARNING) << "event=stopped-before-drained cause=\"" << cause << '"';
+        LOG(WARNING) << "event=stopped-before-drained cause=\"" << cause << "\" "
+                     << kernel_.describeInFlight();
         exitCode_ = ExitCode::Failed;
         kernel_.loop().stop();
     }
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -20,9 +20,6 @@
 
 namespace {
 
-/// Callers poll readiness once a second and treat a node as not ready after two consecutive polls.
-constexpr Milliseconds callerNoticePeriod{3'000};
-
 /// Accepts the requests of callers and responds with complete answers or verdicts.
 class EntryTask final : public Task
 {
@@ -43,9 +40,13 @@
         kernel.bus().subscribe<RunEnded>(
                 [this](const RunEnded &ended) { runningCalls_.erase(ended.requestId); });
         kernel.bus().subscribe<CallRouted>([this](const CallRouted &routed) { finish(routed); });
-        kernel.bus().subscribe<StopRequested>([this](const StopRequested &) { stop(); });
-        kernel.addInFlight(
-                [this] { return openRequests_.size() + (server_ ? server_->receiving() : 0); });
+        kernel.bus().subscribe<StopRequested>(
+                [this](const StopRequested &stop) { beginStop(stop.schedule); });
+        kernel.bus().subscribe<DrainExpired>([this](const DrainExpired &) { giveUp(); });
+        kernel.addInFlight("requests", [this] { return openRequests_.size(); });
+        kernel.addInFlight("responses", [this] { return server_ ? server_->unanswered() : 0; });
+        kernel.addInFlight("requests_receiving",
+                           [this] { return server_ ? server_->receiving() : 0; });
     }
 
     void start() override
@@ -78,17 +79,26 @@
             refuse(*exchange, call.error(), request);
             return;
         }
-        attachToCallTree(call.value());
+        const CallOrigin origin = attachToCallTree(call.value());
+        const auto leaving
+                = schedule_ ? reasonToRefuse(*schedule_, origin, call.value(), now) : std::nullopt;
+        if (leaving) {
+            noteDecision(call.value(), *leaving, std::chrono::nanoseconds(0), *exchange);
+            refuse(*exchange, *leaving, request);
+            return;
+        }
         const std::size_t size = bytesOf(request.body).size();
         if (bytesHeld_ + size > kernel_.settings().maximumBytesHeld) {
             refuse(*exchange, memoryLimitVerdict(), request);
             return;
         }
         if (const auto refusal = reasonToShed(call.value())) {
-            noteDecision(call.value(), *refusal, std::chrono::nanoseconds(0));
+            noteDecision(call.value(), *refusal, std::chrono::nanoseconds(0), *exchange);
             refuse(*exchange, *refusal, request);
             return;
         }
+        if (schedule_)
+            limitDeadline(*schedule_, call.value());
         bytesHeld_ += size;
         const Token token = nextToken();
         auto shared = std::make_shared<const Call>(std::move(call.value()));
@@ -99,7 +109,7 @@
 
     /// Determines whether the call is the root of a call tree or a nested call, and the kind of its
     /// root. A nested call takes the importance of its parent if that is higher.
-    void attachToCallTree(Call &call)
+    CallOrigin attachToCallTree(Call &call)
     {
         const auto parent = runningCalls_.find(dialect_.parentOf(call.requestId));
         const bool isParentKnown = parent != runningCalls_.end();
@@ -108,10 +118,11 @@
             call.rootKind = call.kind;
         call.treeDraw = std::uniform_real_distribution<double>(0.0, 1.0)(random_);
         if (!isParentKnown)
-            return;
+            return CallOrigin::Caller;
         call.rootKind = parent->second->rootKind;
         call.treeDraw = parent->second->treeDraw;
         call.importance = std::min(call.importance, parent->second->importance);
+        return CallOrigin::RunningCall;
     }
 
     /// Refuses a caller's request when a service that its call tree uses is overloaded. Nested
@@ -147,18 +158,21 @@
     }
 
     void noteDecision(const Call &call, const Judged<Answer> &result,
-                      std::chrono::nanoseconds latency)
+                      std::chrono::nanoseconds latency, const HttpExchange &exchange)
     {
-        const auto left = std::chrono::floor<Milliseconds>(call.deadline - kernel_.clock().now());
-        logDecision(kernel_.decisions(), call, result,
-                    {"request",
-                     latency,
-                     catalogue_->version,
-                     downstreamPressureOf(call),
-                     {},
-                     std::nullopt,
-                     left,
-                     admittedShareOf(call)});
+        const TimePoint now = kernel_.clock().now();
+        DecisionInputs inputs;
+        inputs.event = "request";
+        inputs.duration = latency;
+        inputs.configuration = catalogue_->version;
+        inputs.pressure = downstreamPressureOf(call);
+        inputs.left = std::chrono::floor<Milliseconds>(call.deadline - now);
+        inputs.share = admittedShareOf(call);
+        if (schedule_) {
+            inputs.sinceStop = std::chrono::floor<Milliseconds>(now - latency - stopRequestedAt_);
+            inputs.isConnectionReused = exchange.isConnectionReused();
+        }
+        logDecision(kernel_.decisions(), call, result, inputs);
     }
 
     static Verdict memoryLimitVerdict()
@@ -193,22 +207,28 @@
             kernel_.bus().post(RootEnded{request.call->kind, latency, wasServed});
         }
         metrics_.countFinishedCall(*request.call, routed.outcome.result, latency);
-        noteDecision(*request.call, routed.outcome.result, latency);
+        noteDecision(*request.call, routed.outcome.result, latency, *request.exchange);
         request.exchange->respond(
                 dialect_.responseFor(routed.outcome.result, request.call->requestId));
     }
 
-    /// Callers that poll readiness keep sending until they have seen that this node is not ready,
-    /// so the node accepts connections until then.
-    void stop()
+    /// Ends the requests in flight with a verdict, as this node stops before their answers come.
+    void giveUp()
     {
+        for (const auto &[token, request] : openRequests_)
+            kernel_.bus().post(CancelCall{token, Reason::Leaving});
+    }
+
+    /// Where callers poll readiness, connections are accepted until the process ends: callers that
+    /// have not heard of the stop get an answer, and calls in flight can make the calls that they
+    /// need.
+    void beginStop(const DrainSchedule &schedule)
+    {
+        schedule_ = schedule;
+        stopRequestedAt_ = kernel_.clock().now();
         server_->closeAfterResponses();
-        if (!kernel_.settings().ready) {
+        if (!kernel_.settings().ready)
             server_->stopAccepting();
-            return;
-        }
-        stopAcceptingTimer_
-                = kernel_.loop().after(callerNoticePeriod, [this] { server_->stopAccepting(); });
     }
 
     Kernel &kernel_;
@@ -217,7 +237,8 @@
     ShareCounters shares_;
     std::shared_ptr<const MeshPressure> meshPressure_ = std::make_shared<const MeshPressure>();
     std::minstd_rand random_{std::random_device{}()};
-    Timer stopAcceptingTimer_;
+    TimePoint stopRequestedAt_;
+    std::optional<DrainSchedule> schedule_; ///< Set once a planned stop has begun.
     std::shared_ptr<const Catalogue> catalogue_;
     std::unique_ptr<HttpServer> server_;
     std::map<Token, OpenRequest> openRequests_;
--- a/Services/Node/LinkTask.cpp
+++ b/Services/Node/LinkTask.cpp
@@ -10,6 +10,7 @@
 #include <prometheus/counter.h>
 #include <prometheus/registry.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -49,6 +50,7 @@
             bytesSent_[linkClass] = &bytes.Add({{"class", name}, {"direction", "sent"}});
             bytesReceived_[linkClass] = &bytes.Add({{"class", name}, {"direction", "received"}});
         }
+        kernel.addInFlight("links_unsent", [this] { return unsentLinks(); });
         kernel.bus().subscribe<SendToPeer>([this](const SendToPeer &frame) { send(frame); });
         kernel.addStatus("links", [this] { return status(); });
     }
@@ -201,6 +203,16 @@
                                     connection.link->hasOpened()});
     }
 
+    /// Links with calls or answers that have not left this process.
+    [[nodiscard]] std::size_t unsentLinks() const
+    {
+        return std::ranges::count_if(connections_, [](const auto &entry) {
+            const Connection &connection = entry.second;
+            return connection.key && connection.key->linkClass != LinkClass::Control
+                   && connection.link->backlog() > 0;
+        });
+    }
+
     [[nodiscard]] nlohmann::json status() const
     {
         std::size_t open = 0;
--- a/Services/Node/LocalTarget.cpp
+++ b/Services/Node/LocalTarget.cpp
@@ -31,8 +31,17 @@
             [this](const CatalogueChanged &message) { catalogue_ = message.catalogue; });
     kernel.bus().subscribe<CallRouted>(
             [this](const CallRouted &routed) { finishNestedCall(routed); });
-    kernel.addInFlight(
-            [this] { return nestedCalls_.size() + (server_ ? server_->receiving() : 0); });
+    kernel.bus().subscribe<StopRequested>(
+            [this](const StopRequested &stop) { schedule_ = stop.schedule; });
+    kernel.bus().subscribe<DrainExpired>([this](const DrainExpired &) {
+        for (const auto &[token, nested] : nestedCalls_)
+            kernel_.bus().post(CancelCall{token, Reason::Leaving});
+    });
+    kernel.addInFlight("nested_calls", [this] { return nestedCalls_.size(); });
+    kernel.addInFlight("nested_call_responses",
+                       [this] { return server_ ? server_->unanswered() : 0; });
+    kernel.addInFlight("nested_calls_receiving",
+                       [this] { return server_ ? server_->receiving() : 0; });
 }
 
 LocalTarget::~LocalTarget() = default;
@@ -142,6 +151,7 @@
         retiredClients_.push_back(std::move(client_));
     client_ = std::make_unique<HttpClient>(kernel_.loop(), announcement_.endpoint,
                                            kernel_.settings().maximumBodySize);
+    client_->limitBytesHeld(kernel_.settings().maximumBytesHeld);
 }
 
 void LocalTarget::publishChange()
@@ -183,6 +193,20 @@
         exchange->respond(dialect_.responseFor(contextId.error(), nested.requestId));
         return;
     }
+    if (schedule_) {
+        const auto origin
+                = contextId.value().empty() ? CallOrigin::Caller : CallOrigin::RunningCall;
+        const auto refusal = reasonToRefuse(*schedule_, origin, nested, kernel_.clock().now());
+        if (refusal) {
+            CallOutcome outcome;
+            outcome.result = *refusal;
+            outcome.unspent = nested.allowance;
+            contexts_.endNestedCall(contextId.value(), nested.allowance, outcome);
+            exchange->respond(dialect_.responseFor(*refusal, nested.requestId));
+            return;
+        }
+        limitDeadline(*schedule_, nested);
+    }
     const Token token = nextToken();
     auto shared = std::make_shared<const Call>(std::move(nested));
     nestedCalls_.emplace(token, NestedCall{exchange, shared, std::move(contextId.value())});
--- a/Services/Node/LocalTarget.h
+++ b/Services/Node/LocalTarget.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -81,6 +82,7 @@
     TimePoint announcedAt_;
     Timer leaseTimer_;
     std::map<Token, NestedCall> nestedCalls_;
+    std::optional<DrainSchedule> schedule_; ///< Set once a planned stop has begun.
 };
 
 } // namespace chive
--- a/Services/Node/RouterTask.cpp
+++ b/Services/Node/RouterTask.cpp
@@ -67,7 +67,7 @@
     {
         Bus &bus = kernel.bus();
         bus.subscribe<RouteCall>([this](const RouteCall &message) { begin(message); });
-        bus.subscribe<CancelCall>([this](const CancelCall &message) { cancel(message.token); });
+        bus.subscribe<CancelCall>([this](const CancelCall &message) { cancel(message); });
         bus.subscribe<CallRan>(
                 [this](const CallRan &ran) { handleOutcome(ran.token, ran.outcome); });
         bus.subscribe<ReceivedFromPeer>([this](const ReceivedFromPeer &frame) {
@@ -83,7 +83,7 @@
                 [this](const MembersChanged &changed) { chooser_.setMembers(*changed.members); });
         bus.subscribe<PressureChanged>(
                 [this](const PressureChanged &changed) { chooser_.setMeshPressure(changed.mesh); });
-        kernel.addInFlight([this] { return routedCalls_.size(); });
+        kernel.addInFlight("routed_calls", [this] { return routedCalls_.size(); });
         kernel.addStatus("router", [this] {
             return nlohmann::json{{"calls", routedCalls_.size()},
                                   {"attempts", attempts_.size()},
@@ -277,10 +277,10 @@
 
     void expire(Token token) { abandon(token, Reason::DeadlineExceeded); }
 
-    void cancel(Token token)
+    void cancel(const CancelCall &message)
     {
-        if (routedCalls_.count(token) != 0)
-            abandon(token, Reason::Cancelled);
+        if (routedCalls_.count(message.token) != 0)
+            abandon(message.token, message.reason);
     }
 
     void abandon(Token token, Reason reason)
