LibKernel: Count the descriptors of each use against a share

Neither logs nor metrics said how many descriptors a node holds, for what, and whether they are idle, so that a leak, waiting requests and idle connections could not be told apart.

The limit of the process (maximum_descriptors, or the operating system's if that is lower) is divided among callers, the target's calls, the target, peers, the log or store, and administration; every connection holds a lease of its share. Nothing acts on a full share yet.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -97,6 +97,7 @@
 struct HttpClient::Connection
 {
     HttpClient &client;
+    DescriptorLease lease;
     bufferevent *handle = nullptr;
     Active *active = nullptr;  ///< The request that is out, or null while idle.
     std::size_t bytesSent = 0; ///< Of the current request, as taken by the kernel.
@@ -108,6 +109,8 @@
     explicit Connection(HttpClient &owner)
         : client(owner)
     {
+        if (owner.share_ != nullptr)
+            lease = DescriptorLease(*owner.share_);
         handle = bufferevent_socket_new(owner.loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
         const auto count = [](evbuffer *, const evbuffer_cb_info *info, void *argument) {
             static_cast<Connection *>(argument)->bytesSent += info->n_deleted;
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -3,6 +3,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/Result.h>
 #include <LibHttp/HttpMessage.h>
+#include <LibKernel/DescriptorShare.h>
 #include <LibKernel/EventLoop.h>
 #include <LibSettings/Settings.h>
 
@@ -84,6 +85,9 @@
     /// together. Beyond that the request with the largest one fails.
     void limitBytesHeld(std::size_t most) { maximumBytesHeld_ = most; }
 
+    /// From now on, new connections count towards the share.
+    void countIn(DescriptorShare &share) { share_ = &share; }
+
     /// Bytes of the bodies of responses that are being received.
     [[nodiscard]] std::size_t bytesHeld() const { return bytesHeld_; }
 
@@ -118,6 +122,7 @@
     std::size_t maximumBodySize_;
     std::size_t maximumBytesHeld_ = std::numeric_limits<std::size_t>::max();
     std::size_t bytesHeld_ = 0;
+    DescriptorShare *share_ = nullptr;
     bool trustsServer_ = false;
     bool detectsSilence_ = false;
     std::map<RequestId, std::unique_ptr<Active>> active_;
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -166,9 +166,11 @@
     evhttp_free(server_);
 }
 
-HttpServer::Connection::Connection(bufferevent *handle)
+HttpServer::Connection::Connection(bufferevent *handle, DescriptorShare *share)
     : handle(handle)
 {
+    if (share != nullptr)
+        lease = DescriptorLease(*share);
     bufferevent_incref(handle);
     const auto onBytes = [](evbuffer *, const evbuffer_cb_info *info, void *argument) {
         if (info->n_added > 0)
@@ -188,7 +190,7 @@
     // The record outlives evhttp's connection, with read events that libevent keeps. The descriptor
     // must not be closed before they are gone, or they take bytes from whoever gets it next.
     bufferevent *handle = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
-    connections_.emplace(handle, std::make_unique<Connection>(handle));
+    connections_.emplace(handle, std::make_unique<Connection>(handle, share_));
     return handle;
 }
 
@@ -201,6 +203,14 @@
         bufferevent_getcb(entry.first, nullptr, nullptr, nullptr, &argument);
         return argument == nullptr;
     });
+    if (share_ != nullptr)
+        share_->setIdle(idle());
+}
+
+std::size_t HttpServer::idle() const
+{
+    return std::count_if(connections_.begin(), connections_.end(),
+                         [](const auto &entry) { return entry.second->isIdle(); });
 }
 
 std::size_t HttpServer::receiving()
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Result.h>
 #include <LibHttp/HttpMessage.h>
+#include <LibKernel/DescriptorShare.h>
 #include <LibKernel/EventLoop.h>
 #include <LibSettings/Settings.h>
 
@@ -79,6 +80,9 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
+    /// From now on, new connections count towards the share.
+    void countIn(DescriptorShare &share) { share_ = &share; }
+
     /// Requests of which some bytes have come and others have not. The handler has not seen them.
     [[nodiscard]] std::size_t receiving();
 
@@ -97,11 +101,14 @@
     /// What evhttp does not tell of one connection.
     struct Connection
     {
-        explicit Connection(bufferevent *handle);
+        Connection(bufferevent *handle, DescriptorShare *share);
         ~Connection();
         Connection(const Connection &) = delete;
         Connection &operator=(const Connection &) = delete;
 
+        [[nodiscard]] bool isIdle() const { return !isReceiving && !isUnanswered; }
+
+        DescriptorLease lease;
         bufferevent *handle = nullptr; ///< Referenced, so that it never dangles.
         evbuffer_cb_entry *watch = nullptr;
         bool isReceiving = false;
@@ -109,6 +116,7 @@
         HttpExchange::ConnectionUse use = HttpExchange::ConnectionUse::First;
     };
 
+    [[nodiscard]] std::size_t idle() const; ///< Connections on which nothing is owed or received.
     bufferevent *addConnection();
     void releaseClosed();
     void handle(evhttp_request *request);
@@ -120,6 +128,7 @@
     std::shared_ptr<bool> closesAfter_ = std::make_shared<bool>(false);
     Handler handler_;
     EventLoop &loop_;
+    DescriptorShare *share_ = nullptr;
     std::map<bufferevent *, std::unique_ptr<Connection>> connections_;
     Timer releaseTimer_;
 };
--- a/Libraries/LibKernel/Kernel.cpp
+++ b/Libraries/LibKernel/Kernel.cpp
@@ -10,6 +10,7 @@
 Kernel::Kernel(Settings settings, const Clock &clock)
     : settings_(std::move(settings))
     , clock_(clock)
+    , descriptors_(divideDescriptors(descriptorLimit(settings_.maximumDescriptors)))
     , metrics_(std::make_shared<prometheus::Registry>())
 {}
 
--- a/Libraries/LibKernel/Kernel.h
+++ b/Libraries/LibKernel/Kernel.h
@@ -3,6 +3,7 @@
 #include <LibCore/Clock.h>
 #include <LibKernel/Bus.h>
 #include <LibKernel/DecisionLog.h>
+#include <LibKernel/DescriptorBudget.h>
 #include <LibKernel/EventLoop.h>
 #include <LibKernel/Registry.h>
 #include <LibSettings/Settings.h>
@@ -56,6 +57,7 @@
     [[nodiscard]] EventLoop &loop() { return loop_; }
     [[nodiscard]] Bus &bus() { return bus_; }
     [[nodiscard]] DecisionLog &decisions() { return decisions_; }
+    [[nodiscard]] DescriptorShares &descriptors() { return descriptors_; }
     [[nodiscard]] prometheus::Registry &metrics() { return *metrics_; }
 
     /// Names a part of the status report; the function is called for each report.
@@ -75,6 +77,7 @@
 private:
     Settings settings_;
     const Clock &clock_;
+    DescriptorShares descriptors_; // Outlives the connections that callbacks in the loop hold.
     EventLoop loop_;
     Bus bus_{loop_};
     DecisionLog decisions_{loop_, clock_, 1}; // Standard output.
--- a/Libraries/LibLog/LogClient.h
+++ b/Libraries/LibLog/LogClient.h
@@ -30,6 +30,9 @@
 
     LogClient(EventLoop &loop, const Endpoint &service);
 
+    /// From now on, new connections count towards the share.
+    void countIn(DescriptorShare &share) { client_.countIn(share); }
+
     /// Appends one record. Fails after the connection has been silent for `timeout`.
     RequestId append(std::string_view stream, std::string payload, Milliseconds timeout,
                      std::function<void(AppendOutcome)> callback);
--- a/Libraries/LibSettings/ParseSettings.cpp
+++ b/Libraries/LibSettings/ParseSettings.cpp
@@ -14,6 +14,7 @@
 constexpr IntegerRange bodySizeRange{1'024, 1'073'741'824, "bytes"};
 constexpr IntegerRange heldBytesRange{1'024, 68'719'476'736, "bytes"};
 constexpr IntegerRange drainTimeoutRange{0, 3'600'000, "ms"};
+constexpr IntegerRange descriptorRange{128, 1'048'576, "descriptors"};
 constexpr IntegerRange leaseRange{100, 3'600'000, "ms"};
 /// Between the end of the drain and the end of the time that the platform allows for a stop.
 constexpr Milliseconds exitPeriod{400};
@@ -140,6 +141,9 @@
     settings.drainTimeout = Milliseconds(
             table->integer("drain_timeout_ms", settings.drainTimeout.count(), drainTimeoutRange));
     parseStopGrace(*table, settings);
+    if (table->has("maximum_descriptors"))
+        settings.maximumDescriptors = static_cast<std::size_t>(
+                table->integer("maximum_descriptors", 0, descriptorRange));
     if (settings.maximumBytesHeld < settings.maximumBodySize)
         table->reject("maximum_held_bytes", "expected at least maximum_body_bytes");
     table->rejectUnknownKeys();
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -60,8 +60,9 @@
 
     std::size_t maximumBodySize = 8 * 1024 * 1024;   ///< Bytes, per request and per answer.
     std::size_t maximumBytesHeld = 24 * 1024 * 1024; ///< Bytes of all bodies held at once.
-    Milliseconds drainTimeout{30'000}; ///< How long a planned stop waits for work in flight.
-    std::string logDirectory;          ///< glog files; empty logs to standard error.
+    Milliseconds drainTimeout{30'000};  ///< How long a planned stop waits for work in flight.
+    std::size_t maximumDescriptors = 0; ///< Of this process; 0: the operating system's limit.
+    std::string logDirectory;           ///< glog files; empty logs to standard error.
 
     /// Retries that all nodes together may make towards one service in any window.
     struct RetryBound
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -59,6 +59,7 @@
         if (!server.has_value())
             LOG(FATAL) << "task=entry error=\"" << server.error().message << '"';
         server_ = std::move(server.value());
+        server_->countIn(kernel_.descriptors().callers);
     }
 
 private:
--- a/Services/Node/LinkTask.cpp
+++ b/Services/Node/LinkTask.cpp
@@ -28,6 +28,7 @@
 /// A link and the frames that wait for it to open.
 struct Connection
 {
+    DescriptorLease lease;
     std::unique_ptr<Link> link;
     std::optional<LinkKey> key; ///< Unknown on an accepted link until its Hello.
     std::deque<SendToPeer> pending;
@@ -94,6 +95,7 @@
     void accept(int socket)
     {
         const ConnectionId id = nextId_++;
+        connections_[id].lease = DescriptorLease(kernel_.descriptors().peers);
         connections_[id].link
                 = Link::accept(kernel_.loop(), socket, maximumMessageSize(), eventsOf(id));
     }
@@ -102,6 +104,7 @@
     {
         const ConnectionId id = nextId_++;
         Connection &connection = connections_[id];
+        connection.lease = DescriptorLease(kernel_.descriptors().peers);
         connection.key = key;
         idsByKey_[key] = id;
         connection.link
--- a/Services/Node/LocalTarget.cpp
+++ b/Services/Node/LocalTarget.cpp
@@ -56,6 +56,7 @@
     if (!server.has_value())
         LOG(FATAL) << "task=target error=\"" << server.error().message << '"';
     server_ = std::move(server.value());
+    server_->countIn(kernel_.descriptors().targetCalls);
     leaseTimer_ = kernel_.loop().every(leaseCheckInterval, [this] { checkLease(); });
 }
 
@@ -151,6 +152,7 @@
         retiredClients_.push_back(std::move(client_));
     client_ = std::make_unique<HttpClient>(kernel_.loop(), announcement_.endpoint,
                                            kernel_.settings().maximumBodySize);
+    client_->countIn(kernel_.descriptors().target);
     client_->limitBytesHeld(kernel_.settings().maximumBytesHeld);
 }
 
--- a/Services/Node/LogTask.cpp
+++ b/Services/Node/LogTask.cpp
@@ -68,7 +68,7 @@
         kernel.addStatus("log", [this] { return status(); });
     }
 
-    void start() override {}
+    void start() override { client_.countIn(kernel_.descriptors().platform); }
 
 private:
     void append(const AppendToLog &message)
--- a/Services/Node/ReadyTask.cpp
+++ b/Services/Node/ReadyTask.cpp
@@ -50,6 +50,7 @@
         if (!server.has_value())
             LOG(FATAL) << "task=ready error=\"" << server.error().message << '"';
         server_ = std::move(server.value());
+        server_->countIn(kernel_.descriptors().admin);
     }
 
 private:
--- a/Services/Node/StatusTask.cpp
+++ b/Services/Node/StatusTask.cpp
@@ -45,6 +45,7 @@
         if (!server.has_value())
             LOG(FATAL) << "task=status error=\"" << server.error().message << '"';
         server_ = std::move(server.value());
+        server_->countIn(kernel_.descriptors().admin);
     }
 
 private:
--- a/Services/Node/StoreTask.cpp
+++ b/Services/Node/StoreTask.cpp
@@ -68,7 +68,7 @@
         });
     }
 
-    void start() override {}
+    void start() override { client_.countIn(kernel_.descriptors().platform); }
 
 private:
     struct FollowedTopic
