--- a/Tests/Harness/KeptConnections.cpp
+++ b/Tests/Harness/KeptConnections.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t maximumBodySize = 64 * 1024 * 1024;
 /// A request that crossed the server's close is answered by a reset within this time.
 constexpr Milliseconds resetLimit{50};
+/// A server that accepts no more lets connections wait.
+constexpr timeval connectLimit{1, 0};
 
 std::string wireFormat(const HttpRequest &request)
 {
@@ -166,6 +168,7 @@
         const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         if (receiveBuffer_ > 0)
             setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer_, sizeof receiveBuffer_);
+        setsockopt(socket, SOL_SOCKET, SO_SNDTIMEO, &connectLimit, sizeof connectLimit);
         if (connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0) {
             close(socket);
             return i;
--- a/Tests/Harness/Mesh.cpp
+++ b/Tests/Harness/Mesh.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
+#include <sys/resource.h>
 
 #include <fstream>
 #include <map>
@@ -16,6 +17,26 @@
 
 constexpr Milliseconds startLimit{10'000};
 
+/// Lowers the limit that child processes inherit while it is in scope; 0 leaves it as it is.
+class ChildDescriptorLimit
+{
+public:
+    explicit ChildDescriptorLimit(std::size_t most)
+    {
+        getrlimit(RLIMIT_NOFILE, &previous_);
+        if (most == 0)
+            return;
+        const rlimit lowered{most, previous_.rlim_max};
+        setrlimit(RLIMIT_NOFILE, &lowered);
+    }
+    ~ChildDescriptorLimit() { setrlimit(RLIMIT_NOFILE, &previous_); }
+    ChildDescriptorLimit(const ChildDescriptorLimit &) = delete;
+    ChildDescriptorLimit &operator=(const ChildDescriptorLimit &) = delete;
+
+private:
+    rlimit previous_{};
+};
+
 std::string joined(const std::vector<std::string> &parts)
 {
     std::string text;
@@ -103,6 +124,7 @@
 
 void Mesh::startNode(RunningMember &member)
 {
+    const ChildDescriptorLimit limit(member.spec.maximumDescriptors);
     member.node = Process(CHIVE_NODE_PROGRAM, {"node", "--settings=" + member.settingsFile},
                           workspace_.pathOf(member.spec.name + "-node.log"));
 }
--- a/Tests/Harness/Mesh.h
+++ b/Tests/Harness/Mesh.h
@@ -7,6 +7,7 @@
 #include <LibSettings/Settings.h>
 #include <StandIns/Executions.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <list>
 #include <string>
@@ -29,9 +30,10 @@
     bool isLogProxied = false;      ///< A fault proxy between node and log.
     std::vector<Endpoint> peers;    ///< Settings `mesh.peers`.
     Milliseconds drainTimeout{30'000};
-    std::string moreSettings; ///< TOML appended to the node's settings.
-    bool hasTarget = true;    ///< False for a node that only takes callers' requests.
-    bool hasReady = false;    ///< The node answers readiness checks.
+    std::string moreSettings;           ///< TOML appended to the node's settings.
+    bool hasTarget = true;              ///< False for a node that only takes callers' requests.
+    bool hasReady = false;              ///< The node answers readiness checks.
+    std::size_t maximumDescriptors = 0; ///< Limit of the node's process; 0: that of the test.
 };
 
 /// A running node and its target, with the endpoints to reach and to disturb them.
--- /dev/null
+++ b/Tests/Integration/TestDescriptors.cpp
@@ -0,0 +1,101 @@
+#include <Harness/KeptConnections.h>
+#include <Harness/Mesh.h>
+#include <Integration/ReleaseNotes.h>
+#include <LibCore/Identifier.h>
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+using namespace chive;
+
+namespace {
+
+constexpr std::size_t descriptors = 256;
+constexpr std::size_t moreCallers = 400;
+/// Far less than the deadline of the requests.
+constexpr Milliseconds answerLimit{2'000};
+/// Nothing is in flight, so the notice that callers get decides.
+constexpr Milliseconds stopLimit{5'000};
+
+HttpRequest read()
+{
+    return {"GET",
+            "/photos/read/first?service_ms=1",
+            {{"Chive-Request-Id", randomIdentifier()}},
+            nullptr};
+}
+
+std::size_t countLines(const std::string &file, std::string_view text)
+{
+    std::size_t count = 0;
+    std::ifstream stream(file);
+    for (std::string line; std::getline(stream, line);)
+        count += line.find(text) != std::string::npos ? 1 : 0;
+    return count;
+}
+
+} // namespace
+
+TEST_CASE("Idle connections of callers do not use up the descriptors of a node")
+{
+    Mesh mesh;
+    mesh.startLog();
+    mesh.publish("first", "", releaseNote("first", {"photos"}));
+    MemberSpec spec;
+    spec.name = "photos-0";
+    spec.service = "photos";
+    spec.hasReady = true;
+    spec.maximumDescriptors = descriptors;
+    RunningMember &member = mesh.add(spec);
+    REQUIRE(mesh.waitUntilAnswered(member, "/photos/read/ready"));
+    Caller &caller = mesh.caller();
+
+    std::vector<std::unique_ptr<KeptConnections>> callers;
+    std::size_t answered = 0;
+    const auto sendFromNewCaller = [&] {
+        KeptConnections &connection = *callers.emplace_back(
+                std::make_unique<KeptConnections>(caller.loop(), member.callers));
+        if (connection.open(1) == 0)
+            return;
+        connection.send(read(), [&](const KeptResult &result) {
+            answered += result.call.isAnswer() ? 1 : 0;
+        });
+        caller.waitUntil([&] { return connection.inFlight() == 0; }, answerLimit);
+    };
+    for (std::size_t i = 0; i < moreCallers; ++i) {
+        sendFromNewCaller();
+        if (answered < callers.size())
+            break;
+    }
+
+    SUBCASE("each of more callers than it has descriptors gets its answer")
+    {
+        CHECK(answered == moreCallers);
+    }
+
+    SUBCASE("it still answers calls of its target and readiness checks")
+    {
+        const CallResult nested = caller.call(member.targetCalls, read(), answerLimit);
+        CHECK(nested.isAnswer());
+        CHECK(caller.call(member.ready, {"GET", "/ready", {}, nullptr}, answerLimit).status()
+              == 200);
+    }
+
+    SUBCASE("the log does not grow with the attempts to accept")
+    {
+        caller.wait(answerLimit);
+        const std::string log = mesh.workspace().pathOf("photos-0-node.log");
+        CHECK(countLines(log, "accept") <= 1);
+    }
+
+    SUBCASE("a planned stop ends in time")
+    {
+        member.node.terminate();
+        CHECK(member.node.waitForEnd(stopLimit) == 0);
+    }
+}
