LibKernel: Leave room for a link to each other node

Links had 760 of 4,100 descriptors, less than one to each of the 889 other nodes of the size to design for, and less than the three classes of links to 299 nodes need. They get 3/10 of what is divided, 1,141 (computed), and callers 4/10, 1,521: idle connections of callers give way, links do not.

--- a/Libraries/LibKernel/DescriptorBudget.cpp
+++ b/Libraries/LibKernel/DescriptorBudget.cpp
@@ -17,9 +17,9 @@
 
 /// Parts of the rest, of `parts`.
 constexpr std::size_t parts = 10;
-constexpr std::size_t callerParts = 5;
+constexpr std::size_t callerParts = 4;
 constexpr std::size_t targetParts = 2;
-constexpr std::size_t peerParts = 2;
+constexpr std::size_t peerParts = 3;
 constexpr std::size_t targetCallParts = 1;
 
 } // namespace
