LibHttp: Close the longest idle connections as descriptors get short

Once seven eighths of a share are in use, the server closes the connections that have been idle for longest until three quarters are. It looks right after the turn in which it accepted a connection, and every 100 ms. A connection is idle when nothing is owed on it, none of its bytes waits in the buffer, and none on the socket. No byte is read and no request handled between the decision and the close: evhttp is told that the input has ended, and frees the connection at once. In a stop, connections wait for their next response as before.

Ruled out: reading first and closing what stays idle, since a request read then would have to be answered.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace chive {
 
@@ -185,28 +186,87 @@
     bufferevent_decref(handle);
 }
 
+bool HttpServer::Connection::isIdle() const
+{
+    return !isReceiving && !isUnanswered && evbuffer_get_length(bufferevent_get_input(handle)) == 0;
+}
+
+bool HttpServer::Connection::hasUnreadBytes() const
+{
+    char byte = 0;
+    return recv(bufferevent_getfd(handle), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+bool HttpServer::Connection::isClosed() const
+{
+    // evhttp takes its callbacks and their argument away from a connection that it frees. While it
+    // writes a response only the read callback is missing.
+    void *argument = nullptr;
+    bufferevent_getcb(handle, nullptr, nullptr, nullptr, &argument);
+    return argument == nullptr;
+}
+
 bufferevent *HttpServer::addConnection()
 {
     // The record outlives evhttp's connection, with read events that libevent keeps. The descriptor
     // must not be closed before they are gone, or they take bytes from whoever gets it next.
     bufferevent *handle = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
-    connections_.emplace(handle, std::make_unique<Connection>(handle, share_));
+    const auto added = connections_.emplace(handle, std::make_unique<Connection>(handle, share_));
+    added.first->second->idleOrder = ++lastIdleOrder_;
+    if (share_ != nullptr && share_->isShort())
+        makeRoomSoon();
     return handle;
 }
 
 void HttpServer::releaseClosed()
 {
-    std::erase_if(connections_, [](const auto &entry) {
-        // evhttp takes its callbacks and their argument away from a connection that it frees. While
-        // it writes a response only the read callback is missing.
-        void *argument = nullptr;
-        bufferevent_getcb(entry.first, nullptr, nullptr, nullptr, &argument);
-        return argument == nullptr;
-    });
+    std::erase_if(connections_, [](const auto &entry) { return entry.second->isClosed(); });
     if (share_ != nullptr)
         share_->setIdle(idle());
 }
 
+void HttpServer::makeRoomSoon()
+{
+    if (makeRoomTimer_.isActive())
+        return;
+    // Not in evhttp's callbacks, in which it still uses its connections.
+    makeRoomTimer_ = loop_.after(Milliseconds(0), [this] {
+        makeRoomTimer_.cancel();
+        makeRoom();
+    });
+}
+
+void HttpServer::makeRoom()
+{
+    releaseClosed();
+    if (share_ == nullptr || !share_->isShort() || *closesAfter_)
+        return;
+    std::vector<const Connection *> longestIdle;
+    for (const auto &[handle, connection] : connections_) {
+        if (connection->isIdle())
+            longestIdle.push_back(connection.get());
+    }
+    std::ranges::sort(longestIdle, {}, &Connection::idleOrder);
+    for (const Connection *connection : longestIdle) {
+        if (share_->hasEnough())
+            break;
+        if (connection->hasUnreadBytes())
+            continue;
+        closeIdle(connection->handle);
+        share_->noteReclaimed();
+    }
+    share_->setIdle(idle());
+}
+
+void HttpServer::closeIdle(bufferevent *handle)
+{
+    // To evhttp this is the end of the input, at which it frees the connection without reading.
+    bufferevent_trigger_event(handle, BEV_EVENT_EOF | BEV_EVENT_READING, 0);
+    const auto found = connections_.find(handle);
+    if (found->second->isClosed())
+        connections_.erase(found);
+}
+
 std::size_t HttpServer::idle() const
 {
     return std::count_if(connections_.begin(), connections_.end(),
@@ -251,8 +311,10 @@
 
 void HttpServer::handleResponseSent(evhttp_request *request)
 {
-    if (Connection *connection = connectionOf(request))
+    if (Connection *connection = connectionOf(request)) {
         connection->isUnanswered = false;
+        connection->idleOrder = ++lastIdleOrder_;
+    }
 }
 
 Result<std::unique_ptr<HttpServer>> HttpServer::listen(EventLoop &loop, const Endpoint &endpoint,
@@ -277,7 +339,7 @@
     };
     evhttp_set_bevcb(server, add, result.get());
     HttpServer *self = result.get();
-    self->releaseTimer_ = loop.every(releaseInterval, [self] { self->releaseClosed(); });
+    self->releaseTimer_ = loop.every(releaseInterval, [self] { self->makeRoom(); });
     return result;
 }
 
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -80,7 +80,8 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
-    /// From now on, new connections count towards the share.
+    /// From now on, new connections count towards the share. As it gets short, those that have been
+    /// idle for longest are closed. The share must outlive the server.
     void countIn(DescriptorShare &share) { share_ = &share; }
 
     /// Requests of which some bytes have come and others have not. The handler has not seen them.
@@ -92,7 +93,8 @@
     /// Accepts no more connections; those that are open go on.
     void stopAccepting();
 
-    /// From now on, closes each connection after the response that it gets next.
+    /// From now on, closes each connection after the response that it gets next, and none that is
+    /// idle.
     void closeAfterResponses();
 
 private:
@@ -106,19 +108,28 @@
         Connection(const Connection &) = delete;
         Connection &operator=(const Connection &) = delete;
 
-        [[nodiscard]] bool isIdle() const { return !isReceiving && !isUnanswered; }
+        /// Nothing is owed, and no byte has been read that the handler has not seen.
+        [[nodiscard]] bool isIdle() const;
+        /// A request, or a part of one, waits on the socket.
+        [[nodiscard]] bool hasUnreadBytes() const;
+        /// evhttp has freed its connection.
+        [[nodiscard]] bool isClosed() const;
 
         DescriptorLease lease;
         bufferevent *handle = nullptr; ///< Referenced, so that it never dangles.
         evbuffer_cb_entry *watch = nullptr;
         bool isReceiving = false;
         bool isUnanswered = false;
+        std::uint64_t idleOrder = 0; ///< Lower for a connection that has been idle for longer.
         HttpExchange::ConnectionUse use = HttpExchange::ConnectionUse::First;
     };
 
     [[nodiscard]] std::size_t idle() const; ///< Connections on which nothing is owed or received.
     bufferevent *addConnection();
     void releaseClosed();
+    void makeRoom();
+    void makeRoomSoon();
+    void closeIdle(bufferevent *handle);
     void handle(evhttp_request *request);
     void handleResponseSent(evhttp_request *request);
     [[nodiscard]] Connection *connectionOf(evhttp_request *request);
@@ -130,7 +141,9 @@
     EventLoop &loop_;
     DescriptorShare *share_ = nullptr;
     std::map<bufferevent *, std::unique_ptr<Connection>> connections_;
+    std::uint64_t lastIdleOrder_ = 0;
     Timer releaseTimer_;
+    Timer makeRoomTimer_;
 };
 
 } // namespace chive
--- a/Libraries/LibKernel/DescriptorShare.h
+++ b/Libraries/LibKernel/DescriptorShare.h
@@ -20,6 +20,13 @@
     [[nodiscard]] std::size_t used() const { return used_; }
     [[nodiscard]] bool isFull() const { return used_ >= most_; }
 
+    /// Idle connections are closed once the share is short, until it has enough.
+    [[nodiscard]] bool isShort() const { return used_ >= most_ - most_ / shortDivisor; }
+    [[nodiscard]] bool hasEnough() const
+    {
+        return used_ <= most_ - (most_ + enoughDivisor - 1) / enoughDivisor;
+    }
+
     /// Of those in use, connections on which nothing is owed, as their owner last counted them.
     void setIdle(std::size_t idle) { idle_ = idle; }
     [[nodiscard]] std::size_t idle() const { return idle_; }
@@ -35,6 +42,10 @@
 private:
     friend class DescriptorLease;
 
+    /// The parts of the share that are free at least while it is not short, and once it has enough.
+    static constexpr std::size_t shortDivisor = 8;
+    static constexpr std::size_t enoughDivisor = 4;
+
     std::size_t most_;
     std::size_t used_ = 0;
     std::size_t idle_ = 0;
--- /dev/null
+++ b/Tests/LibHttp/TestServerConnections.cpp
@@ -0,0 +1,396 @@
+#include <LibHttp/HttpServer.h>
+#include <LibKernel/EventLoop.h>
+
+#include <doctest/doctest.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <filesystem>
+#include <iterator>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <utility>
+#include <vector>
+
+using namespace chive;
+
+namespace {
+
+constexpr std::size_t bodyLimit = 1024 * 1024;
+const Endpoint endpoint{"127.0.0.1", 19'471};
+constexpr std::string_view request = "GET / HTTP/1.1\r\n\r\n";
+/// More than the time after which the server looks at its connections again.
+constexpr Milliseconds moreThanOneCheck{150};
+
+/// A caller's connection. It keeps it open until the server closes it.
+class Peer
+{
+public:
+    Peer()
+        : socket_(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(endpoint.port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(connect(socket_, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0);
+    }
+    ~Peer() { close(); }
+    Peer(const Peer &) = delete;
+    Peer &operator=(const Peer &) = delete;
+
+    void write(std::string_view bytes)
+    {
+        [[maybe_unused]] const ssize_t sent
+                = send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+
+    /// All bytes received until now.
+    const std::string &received()
+    {
+        std::array<char, 65'536> bytes{};
+        ssize_t size = 0;
+        while ((size = recv(socket_, bytes.data(), bytes.size(), MSG_DONTWAIT)) > 0)
+            received_.append(bytes.data(), static_cast<std::size_t>(size));
+        isOpen_ = isOpen_ && size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        return received_;
+    }
+
+    bool isOpen()
+    {
+        received();
+        return isOpen_;
+    }
+
+    std::size_t responses()
+    {
+        std::size_t count = 0;
+        const std::string &text = received();
+        for (auto at = text.find("HTTP/1.1 200"); at != std::string::npos;
+             at = text.find("HTTP/1.1 200", at + 1))
+            ++count;
+        return count;
+    }
+
+    void close()
+    {
+        if (socket_ >= 0)
+            ::close(std::exchange(socket_, -1));
+    }
+
+private:
+    int socket_;
+    std::string received_;
+    bool isOpen_ = true;
+};
+
+using Peers = std::vector<std::unique_ptr<Peer>>;
+
+/// A server that answers at once, or when it is told to.
+struct Served
+{
+    EventLoop loop;
+    DescriptorShare share;
+    bool answersAtOnce = true;
+    std::size_t requests = 0;
+    std::vector<std::shared_ptr<HttpExchange>> pending;
+    std::unique_ptr<HttpServer> server;
+
+    explicit Served(std::size_t most)
+        : share(most)
+    {
+        auto result = HttpServer::listen(
+                loop, endpoint, bodyLimit,
+                [this](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+                    ++requests;
+                    if (answersAtOnce)
+                        exchange->respond({200, {}, makeBody("done")});
+                    else
+                        pending.push_back(exchange);
+                });
+        REQUIRE(result.has_value());
+        server = std::move(result.value());
+        server->countIn(share);
+    }
+
+    void runFor(Milliseconds duration)
+    {
+        const Timer end = loop.after(duration, [this] { loop.stop(); });
+        loop.run();
+    }
+
+    /// Runs the loop until the condition holds; false when it did not within two seconds.
+    template<typename Condition>
+    bool runUntil(const Condition &condition)
+    {
+        for (int i = 0; i < 2000 && !condition(); ++i)
+            runFor(Milliseconds(1));
+        return condition();
+    }
+
+    /// Opens one more connection, sends a request and waits for the response.
+    bool isAnswered(Peers &peers)
+    {
+        peers.push_back(std::make_unique<Peer>());
+        peers.back()->write(request);
+        return runUntil([&] { return peers.back()->responses() == 1; });
+    }
+
+    /// Opens connections that the server has accepted when this returns.
+    void connect(Peers &peers, std::size_t count)
+    {
+        const std::size_t expected = share.used() + count;
+        for (std::size_t i = 0; i < count; ++i)
+            peers.push_back(std::make_unique<Peer>());
+        REQUIRE(runUntil([&] { return share.used() == expected; }));
+    }
+
+    /// Runs `callback` just before the server looks at its connections, with no read between them.
+    template<typename Callback>
+    void runBeforeCheck(const Callback &callback)
+    {
+        Timer before;
+        loop.post([&] {
+            before = loop.after(Milliseconds(0), callback);
+            std::this_thread::sleep_for(moreThanOneCheck);
+        });
+        runFor(3 * moreThanOneCheck);
+    }
+};
+
+std::size_t countOpen(const Peers &peers)
+{
+    return std::ranges::count_if(peers, [](const auto &peer) { return peer->isOpen(); });
+}
+
+std::size_t countResponses(const Peers &peers)
+{
+    std::size_t count = 0;
+    for (const auto &peer : peers)
+        count += peer->responses();
+    return count;
+}
+
+std::size_t openDescriptors()
+{
+    const std::filesystem::directory_iterator files("/proc/self/fd");
+    return std::distance(begin(files), end(files));
+}
+
+/// Leaves no room in the share, as the connections of another server that counts in it would.
+std::vector<DescriptorLease> takeRest(DescriptorShare &share)
+{
+    std::vector<DescriptorLease> leases;
+    while (!share.isFull())
+        leases.emplace_back(share);
+    return leases;
+}
+
+} // namespace
+
+TEST_CASE("Idle connections do not use up the descriptors of a server")
+{
+    constexpr std::size_t most = 16;
+    constexpr std::size_t more = 50;
+    Served served(most);
+    Peers peers;
+
+    SUBCASE("each of more callers than it may hold gets its answer")
+    {
+        const std::size_t before = openDescriptors();
+        for (std::size_t i = 0; i < more; ++i) {
+            REQUIRE(served.isAnswered(peers));
+            CHECK(served.share.used() < most);
+        }
+        served.runFor(moreThanOneCheck);
+        CHECK(countOpen(peers) == served.share.used());
+        CHECK(served.share.reclaimed() == more - countOpen(peers));
+        CHECK(openDescriptors() == before + more + served.share.used());
+    }
+
+    SUBCASE("those that are idle for longest are closed first")
+    {
+        served.connect(peers, 8);
+        peers.front()->write(request);
+        REQUIRE(served.runUntil([&] { return peers.front()->responses() == 1; }));
+        served.connect(peers, 5);
+        REQUIRE(countOpen(peers) == 13);
+        peers.push_back(std::make_unique<Peer>());
+        REQUIRE(served.runUntil([&] { return served.share.reclaimed() > 0; }));
+        served.runFor(moreThanOneCheck);
+        CHECK(countOpen(peers) == 12);
+        CHECK(peers[0]->isOpen());
+        CHECK_FALSE(peers[1]->isOpen());
+        CHECK_FALSE(peers[2]->isOpen());
+        CHECK(peers[3]->isOpen());
+    }
+
+    SUBCASE("those on which nothing ever came are closed without waiting for a timer")
+    {
+        for (std::size_t i = 0; i < most - 1; ++i)
+            peers.push_back(std::make_unique<Peer>());
+        REQUIRE(served.runUntil([&] { return served.share.used() > 0; }));
+        served.runFor(Milliseconds(20));
+        CHECK(served.share.used() == 12);
+    }
+
+    SUBCASE("but none is closed while there is room")
+    {
+        served.connect(peers, 13);
+        served.runFor(3 * moreThanOneCheck);
+        CHECK(countOpen(peers) == 13);
+        CHECK(served.share.reclaimed() == 0);
+    }
+
+    SUBCASE("one that its peer has closed leaves no trace")
+    {
+        served.connect(peers, 4);
+        std::vector<DescriptorLease> others;
+        served.runBeforeCheck([&] {
+            others = takeRest(served.share);
+            for (const auto &peer : peers)
+                peer->close();
+        });
+        CHECK(served.share.used() == others.size());
+    }
+
+    SUBCASE("the server may go while it is about to close some")
+    {
+        for (std::size_t i = 0; i < most - 1; ++i)
+            peers.push_back(std::make_unique<Peer>());
+        while (served.share.used() == 0)
+            event_base_loop(served.loop.base(), EVLOOP_ONCE);
+        served.server.reset();
+        served.runFor(moreThanOneCheck);
+        CHECK(countOpen(peers) == 0);
+        CHECK(served.share.used() == 0);
+    }
+}
+
+TEST_CASE("A server short of descriptors closes no connection that has a request")
+{
+    constexpr std::size_t most = 16;
+    Served served(most);
+    Peers peers;
+    std::vector<DescriptorLease> others;
+
+    SUBCASE("of which a part has come")
+    {
+        served.connect(peers, 4);
+        for (const auto &peer : peers)
+            peer->write("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+        REQUIRE(served.runUntil([&] { return served.server->receiving() == 4; }));
+        others = takeRest(served.share);
+        served.runFor(3 * moreThanOneCheck);
+        for (const auto &peer : peers)
+            peer->write("cd");
+        CHECK(served.runUntil([&] { return countResponses(peers) == 4; }));
+        CHECK(served.share.reclaimed() == 0);
+    }
+
+    SUBCASE("that has not been answered")
+    {
+        served.answersAtOnce = false;
+        served.connect(peers, 4);
+        for (const auto &peer : peers)
+            peer->write(request);
+        REQUIRE(served.runUntil([&] { return served.pending.size() == 4; }));
+        others = takeRest(served.share);
+        served.runFor(3 * moreThanOneCheck);
+        CHECK(countOpen(peers) == 4);
+
+        SUBCASE("until it is idle again")
+        {
+            for (const auto &exchange : served.pending)
+                exchange->respond({200, {}, makeBody("done")});
+            CHECK(served.runUntil([&] { return served.share.reclaimed() == 4; }));
+            CHECK(countResponses(peers) == 4);
+            CHECK(countOpen(peers) == 0);
+        }
+    }
+
+    SUBCASE("whose response is being written")
+    {
+        const std::string large(16 * bodyLimit, 'x'); // More than the sockets hold.
+        served.answersAtOnce = false;
+        served.connect(peers, 1);
+        peers.front()->write(request);
+        REQUIRE(served.runUntil([&] { return served.pending.size() == 1; }));
+        served.pending.front()->respond({200, {}, makeBody(large)});
+        others = takeRest(served.share);
+        served.runFor(3 * moreThanOneCheck);
+        CHECK(served.share.reclaimed() == 0);
+        CHECK(served.runUntil([&] { return peers.front()->received().size() > large.size(); }));
+    }
+
+    SUBCASE("that waits unread on the socket")
+    {
+        served.connect(peers, 4);
+        served.runBeforeCheck([&] {
+            others = takeRest(served.share);
+            for (const auto &peer : peers)
+                peer->write(request);
+        });
+        CHECK(served.requests == 4);
+        CHECK(countResponses(peers) == 4);
+    }
+
+    SUBCASE("that was read along with the one before it")
+    {
+        served.answersAtOnce = false;
+        served.connect(peers, 1);
+        peers.front()->write(std::string(request) + std::string(request));
+        REQUIRE(served.runUntil([&] { return served.pending.size() == 1; }));
+        others = takeRest(served.share);
+        served.loop.post([&] {
+            served.pending.front()->respond({200, {}, makeBody("done")});
+            std::this_thread::sleep_for(moreThanOneCheck);
+        });
+        CHECK(served.runUntil([&] { return served.pending.size() == 2; }));
+        CHECK(peers.front()->isOpen());
+        CHECK(served.share.reclaimed() == 0);
+    }
+}
+
+TEST_CASE("A request that crosses the close of its connection is not read")
+{
+    Served served(16);
+    Peers peers;
+    served.connect(peers, 4);
+    std::vector<DescriptorLease> others;
+    Timer after;
+    served.loop.post([&] {
+        others = takeRest(served.share);
+        // Runs next after the check of the server.
+        after = served.loop.after(moreThanOneCheck - Milliseconds(50), [&] {
+            for (const auto &peer : peers)
+                peer->write(request);
+        });
+        std::this_thread::sleep_for(moreThanOneCheck);
+    });
+    served.runFor(3 * moreThanOneCheck);
+    CHECK(served.share.reclaimed() == 4);
+    CHECK(served.requests == 0);
+    CHECK(countOpen(peers) == 0);
+}
+
+TEST_CASE("A connection that waits within a stop is closed after its next response only")
+{
+    Served served(16);
+    Peers peers;
+    REQUIRE(served.isAnswered(peers));
+    served.server->closeAfterResponses();
+    const std::vector<DescriptorLease> others = takeRest(served.share);
+    served.runFor(3 * moreThanOneCheck);
+    REQUIRE(peers.front()->isOpen());
+    peers.front()->write(request);
+    CHECK(served.runUntil([&] { return peers.front()->responses() == 2; }));
+    CHECK(served.runUntil([&] { return !peers.front()->isOpen(); }));
+}
