LibHttp: Pause the listener while no descriptor is left

When all connections of a share were busy, the server also went on to accept beyond it, at the expense of the other uses.

The server now pauses its listener when its share is full or accept() has failed. It resumes once there is room: at the next look at its connections (every 100 ms), or as soon as some were released; after a failure of accept() not before the next look. Callers wait in the backlog meanwhile. A pause counts once as refused; the descriptors task logs it. libevent passes only its own handle to the callback for failures, so the servers are found by it.

TestServerConnections failed before: of 40 callers with a request each, a share of 16 held 40 ("CHECK( 40 == 16 )"), and four connections that could not be accepted made 414,704 log lines in 450 ms ("CHECK( 414704 == 0 )").

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -8,6 +8,7 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -20,7 +21,7 @@
 
 constexpr std::size_t maximumHeaderBytes = 64 * 1024;
 /// The records of closed connections are let go this often. Their sockets stay open until then.
-constexpr Milliseconds releaseInterval{100};
+constexpr Milliseconds checkInterval{100};
 
 std::string methodName(evhttp_cmd_type type)
 {
@@ -60,6 +61,13 @@
     return result;
 }
 
+/// A listener of evhttp passes on its evhttp only.
+std::map<const void *, HttpServer *> &serversByHandle()
+{
+    static std::map<const void *, HttpServer *> servers;
+    return servers;
+}
+
 /// The framing of a response belongs to this connection, not to the answer that it carries.
 bool isFramingHeader(std::string_view name)
 {
@@ -160,10 +168,13 @@
     : server_(evhttp_new(loop.base()))
     , handler_(std::move(handler))
     , loop_(loop)
-{}
+{
+    serversByHandle().emplace(server_, this);
+}
 
 HttpServer::~HttpServer()
 {
+    serversByHandle().erase(server_);
     evhttp_free(server_);
 }
 
@@ -215,14 +226,48 @@
     added.first->second->idleOrder = ++lastIdleOrder_;
     if (share_ != nullptr && share_->isShort())
         makeRoomSoon();
+    if (share_ != nullptr && share_->isFull())
+        pauseAccepting();
     return handle;
 }
 
+void HttpServer::handleAcceptFailure()
+{
+    hasAcceptFailed_ = true;
+    pauseAccepting();
+}
+
+void HttpServer::pauseAccepting()
+{
+    if (isPaused_ || socket_ == nullptr)
+        return;
+    isPaused_ = true;
+    evconnlistener_disable(evhttp_bound_socket_get_listener(socket_));
+    if (share_ != nullptr)
+        share_->noteRefused();
+}
+
+void HttpServer::resumeAccepting()
+{
+    const bool isFull = share_ != nullptr && share_->isFull();
+    if (!isPaused_ || hasAcceptFailed_ || isFull || socket_ == nullptr)
+        return;
+    isPaused_ = false;
+    evconnlistener_enable(evhttp_bound_socket_get_listener(socket_));
+}
+
+void HttpServer::check()
+{
+    hasAcceptFailed_ = false;
+    makeRoom();
+}
+
 void HttpServer::releaseClosed()
 {
     std::erase_if(connections_, [](const auto &entry) { return entry.second->isClosed(); });
     if (share_ != nullptr)
         share_->setIdle(idle());
+    resumeAccepting();
 }
 
 void HttpServer::makeRoomSoon()
@@ -256,6 +301,7 @@
         share_->noteReclaimed();
     }
     share_->setIdle(idle());
+    resumeAccepting();
 }
 
 void HttpServer::closeIdle(bufferevent *handle)
@@ -338,8 +384,13 @@
         return static_cast<HttpServer *>(argument)->addConnection();
     };
     evhttp_set_bevcb(server, add, result.get());
+    // Without a callback libevent logs each failure and tries again at once.
+    const auto onAcceptFailure = [](evconnlistener *, void *handle) {
+        serversByHandle().at(handle)->handleAcceptFailure();
+    };
+    evconnlistener_set_error_cb(evhttp_bound_socket_get_listener(result->socket_), onAcceptFailure);
     HttpServer *self = result.get();
-    self->releaseTimer_ = loop.every(releaseInterval, [self] { self->makeRoom(); });
+    self->checkTimer_ = loop.every(checkInterval, [self] { self->check(); });
     return result;
 }
 
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -81,7 +81,8 @@
     HttpServer &operator=(const HttpServer &) = delete;
 
     /// From now on, new connections count towards the share. As it gets short, those that have been
-    /// idle for longest are closed. The share must outlive the server.
+    /// idle for longest are closed; while it is full, none is accepted. The share must outlive the
+    /// server.
     void countIn(DescriptorShare &share) { share_ = &share; }
 
     /// Requests of which some bytes have come and others have not. The handler has not seen them.
@@ -126,6 +127,10 @@
 
     [[nodiscard]] std::size_t idle() const; ///< Connections on which nothing is owed or received.
     bufferevent *addConnection();
+    void handleAcceptFailure();
+    void pauseAccepting();
+    void resumeAccepting();
+    void check();
     void releaseClosed();
     void makeRoom();
     void makeRoomSoon();
@@ -142,7 +147,9 @@
     DescriptorShare *share_ = nullptr;
     std::map<bufferevent *, std::unique_ptr<Connection>> connections_;
     std::uint64_t lastIdleOrder_ = 0;
-    Timer releaseTimer_;
+    bool isPaused_ = false;        ///< New connections wait in the backlog.
+    bool hasAcceptFailed_ = false; ///< Since the last check.
+    Timer checkTimer_;
     Timer makeRoomTimer_;
 };
 
--- a/Tests/LibHttp/TestServerConnections.cpp
+++ b/Tests/LibHttp/TestServerConnections.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 #include <event2/event.h>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -193,6 +194,47 @@
     return leases;
 }
 
+/// Lets this process open no descriptor, while it lives.
+class NoDescriptors
+{
+public:
+    NoDescriptors()
+    {
+        getrlimit(RLIMIT_NOFILE, &before_);
+        const int firstFree = dup(STDERR_FILENO);
+        ::close(firstFree);
+        rlimit none = before_;
+        none.rlim_cur = static_cast<rlim_t>(firstFree);
+        setrlimit(RLIMIT_NOFILE, &none);
+    }
+    ~NoDescriptors() { setrlimit(RLIMIT_NOFILE, &before_); }
+    NoDescriptors(const NoDescriptors &) = delete;
+    NoDescriptors &operator=(const NoDescriptors &) = delete;
+
+private:
+    rlimit before_{};
+};
+
+/// Counts what libevent logs, while it lives.
+class LibraryLog
+{
+public:
+    LibraryLog()
+    {
+        lines() = 0;
+        event_set_log_callback([](int, const char *) { ++lines(); });
+    }
+    ~LibraryLog() { event_set_log_callback(nullptr); }
+    LibraryLog(const LibraryLog &) = delete;
+    LibraryLog &operator=(const LibraryLog &) = delete;
+
+    static std::size_t &lines()
+    {
+        static std::size_t count = 0;
+        return count;
+    }
+};
+
 } // namespace
 
 TEST_CASE("Idle connections do not use up the descriptors of a server")
@@ -394,3 +436,96 @@
     CHECK(served.runUntil([&] { return peers.front()->responses() == 2; }));
     CHECK(served.runUntil([&] { return !peers.front()->isOpen(); }));
 }
+
+TEST_CASE("A server accepts no more connections than its share while all of them are busy")
+{
+    constexpr std::size_t most = 16;
+    constexpr std::size_t callers = 40;
+    Served served(most);
+    served.answersAtOnce = false;
+    Peers peers;
+    for (std::size_t i = 0; i < callers; ++i) {
+        peers.push_back(std::make_unique<Peer>());
+        peers.back()->write(request);
+    }
+    REQUIRE(served.runUntil([&] { return served.pending.size() >= most; }));
+    served.runFor(3 * moreThanOneCheck);
+    CHECK(served.pending.size() == most);
+    CHECK(served.share.used() == most);
+    CHECK(served.share.refused() == 1);
+    const auto answerPending = [&] {
+        for (const auto &exchange : std::exchange(served.pending, {}))
+            exchange->respond({200, {}, makeBody("done")});
+    };
+
+    SUBCASE("and the others once those are idle")
+    {
+        CHECK(served.runUntil([&] {
+            answerPending();
+            return countResponses(peers) == callers;
+        }));
+        CHECK(served.share.used() <= most);
+    }
+
+    SUBCASE("and the others once those are closed")
+    {
+        for (const auto &peer : peers) {
+            if (peer != peers.back())
+                peer->close();
+        }
+        served.answersAtOnce = true;
+        answerPending();
+        CHECK(served.runUntil([&] { return peers.back()->responses() == 1; }));
+    }
+
+    SUBCASE("and none after a stop has begun")
+    {
+        served.server->stopAccepting();
+        answerPending();
+        served.runFor(3 * moreThanOneCheck);
+        CHECK(served.requests == most);
+        CHECK(countResponses(peers) == most);
+        // The connections that were not accepted end with the listener.
+        CHECK(countOpen(peers) <= most);
+    }
+
+    SUBCASE("and it may go before there is room")
+    {
+        served.server.reset();
+        served.runFor(moreThanOneCheck);
+        CHECK(served.share.used() == 0);
+    }
+}
+
+TEST_CASE("A server that cannot accept neither tries without end nor logs each attempt")
+{
+    constexpr std::size_t callers = 4;
+    Served served(16);
+    Peers peers;
+    for (std::size_t i = 0; i < callers; ++i) {
+        peers.push_back(std::make_unique<Peer>());
+        peers.back()->write(request);
+    }
+    const LibraryLog log;
+    const auto attempts = [&] { return served.share.refused(); };
+    auto none = std::make_unique<NoDescriptors>();
+    served.runFor(3 * moreThanOneCheck);
+    CHECK(LibraryLog::lines() == 0);
+    CHECK(attempts() >= 1);
+    CHECK(attempts() <= 6);
+
+    SUBCASE("and accepts again once it can")
+    {
+        none.reset();
+        CHECK(served.runUntil([&] { return countResponses(peers) == callers; }));
+    }
+
+    SUBCASE("and may be stopped meanwhile")
+    {
+        served.server->stopAccepting();
+        none.reset();
+        served.runFor(3 * moreThanOneCheck);
+        CHECK(served.requests == 0);
+        CHECK(countOpen(peers) == 0);
+    }
+}
