--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -8,10 +8,12 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace chive {
 
@@ -19,7 +21,7 @@
 
 constexpr std::size_t maximumHeaderBytes = 64 * 1024;
 /// The records of closed connections are let go this often. Their sockets stay open until then.
-constexpr Milliseconds releaseInterval{100};
+constexpr Milliseconds checkInterval{100};
 
 std::string methodName(evhttp_cmd_type type)
 {
@@ -59,6 +61,13 @@
     return result;
 }
 
+/// A listener of evhttp passes on its evhttp only.
+std::map<const void *, HttpServer *> &serversByHandle()
+{
+    static std::map<const void *, HttpServer *> servers;
+    return servers;
+}
+
 /// The framing of a response belongs to this connection, not to the answer that it carries.
 bool isFramingHeader(std::string_view name)
 {
@@ -159,10 +168,13 @@
     : server_(evhttp_new(loop.base()))
     , handler_(std::move(handler))
     , loop_(loop)
-{}
+{
+    serversByHandle().emplace(server_, this);
+}
 
 HttpServer::~HttpServer()
 {
+    serversByHandle().erase(server_);
     evhttp_free(server_);
 }
 
@@ -185,26 +197,120 @@
     bufferevent_decref(handle);
 }
 
+bool HttpServer::Connection::isIdle() const
+{
+    return !isReceiving && !isUnanswered && evbuffer_get_length(bufferevent_get_input(handle)) == 0;
+}
+
+bool HttpServer::Connection::hasUnreadBytes() const
+{
+    char byte = 0;
+    return recv(bufferevent_getfd(handle), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+bool HttpServer::Connection::isClosed() const
+{
+    // evhttp takes its callbacks and their argument away from a connection that it frees. While it
+    // writes a response only the read callback is missing.
+    void *argument = nullptr;
+    bufferevent_getcb(handle, nullptr, nullptr, nullptr, &argument);
+    return argument == nullptr;
+}
+
 bufferevent *HttpServer::addConnection()
 {
     // The record outlives evhttp's connection, with read events that libevent keeps. The descriptor
     // must not be closed before they are gone, or they take bytes from whoever gets it next.
     bufferevent *handle = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
-    connections_.emplace(handle, std::make_unique<Connection>(handle, share_));
+    const auto added = connections_.emplace(handle, std::make_unique<Connection>(handle, share_));
+    added.first->second->idleOrder = ++lastIdleOrder_;
+    if (share_ != nullptr && share_->isShort())
+        makeRoomSoon();
+    if (share_ != nullptr && share_->isFull())
+        pauseAccepting();
     return handle;
 }
 
+void HttpServer::handleAcceptFailure()
+{
+    hasAcceptFailed_ = true;
+    pauseAccepting();
+}
+
+void HttpServer::pauseAccepting()
+{
+    if (isPaused_ || socket_ == nullptr)
+        return;
+    isPaused_ = true;
+    evconnlistener_disable(evhttp_bound_socket_get_listener(socket_));
+    if (share_ != nullptr)
+        share_->noteRefused();
+}
+
+void HttpServer::resumeAccepting()
+{
+    const bool isFull = share_ != nullptr && share_->isFull();
+    if (!isPaused_ || hasAcceptFailed_ || isFull || socket_ == nullptr)
+        return;
+    isPaused_ = false;
+    evconnlistener_enable(evhttp_bound_socket_get_listener(socket_));
+}
+
+void HttpServer::check()
+{
+    hasAcceptFailed_ = false;
+    makeRoom();
+}
+
 void HttpServer::releaseClosed()
 {
-    std::erase_if(connections_, [](const auto &entry) {
-        // evhttp takes its callbacks and their argument away from a connection that it frees. While
-        // it writes a response only the read callback is missing.
-        void *argument = nullptr;
-        bufferevent_getcb(entry.first, nullptr, nullptr, nullptr, &argument);
-        return argument == nullptr;
-    });
+    std::erase_if(connections_, [](const auto &entry) { return entry.second->isClosed(); });
     if (share_ != nullptr)
         share_->setIdle(idle());
+    resumeAccepting();
+}
+
+void HttpServer::makeRoomSoon()
+{
+    if (makeRoomTimer_.isActive())
+        return;
+    // Not in evhttp's callbacks, in which it still uses its connections.
+    makeRoomTimer_ = loop_.after(Milliseconds(0), [this] {
+        makeRoomTimer_.cancel();
+        makeRoom();
+    });
+}
+
+void HttpServer::makeRoom()
+{
+    releaseClosed();
+    if (share_ == nullptr || !share_->isShort() || *closesAfter_)
+        return;
+    std::vector<const Connection *> longestIdle;
+    for (const auto &[handle, connection] : connections_) {
+        if (connection->isIdle())
+            longestIdle.push_back(connection.get());
+    }
+    std::ranges::sort(longestIdle, {}, &Connection::idleOrder);
+    for (const Connection *connection : longestIdle) {
+        if (share_->hasEnough())
+            break;
+        if (connection->hasUnreadBytes())
+            continue;
+        closeIdle(connection->handle);
+        share_->noteReclaimed();
+    }
+    share_->setIdle(idle());
+    resumeAccepting();
+}
+
+void HttpServer::closeIdle(bufferevent *handle)
+{
+    // To evhttp this is the end of the input, at which it frees the connection without reading.
+    bufferevent_trigger_event(handle, BEV_EVENT_EOF | BEV_EVENT_READING, 0);
+    const auto found = connections_.find(handle);
+    if (found->second->isClosed())
+        connections_.erase(found);
 }
 
 std::size_t HttpServer::idle() const
@@ -251,8 +357,10 @@
 
 void HttpServer::handleResponseSent(evhttp_request *request)
 {
-    if (Connection *connection = connectionOf(request))
+    if (Connection *connection = connectionOf(request)) {
         connection->isUnanswered = false;
+        connection->idleOrder = ++lastIdleOrder_;
+    }
 }
 
 Result<std::unique_ptr<HttpServer>> HttpServer::listen(EventLoop &loop, const Endpoint &endpoint,
@@ -276,8 +384,13 @@
         return static_cast<HttpServer *>(argument)->addConnection();
     };
     evhttp_set_bevcb(server, add, result.get());
+    // Without a callback libevent logs each failure and tries again at once.
+    const auto onAcceptFailure = [](evconnlistener *, void *handle) {
+        serversByHandle().at(handle)->handleAcceptFailure();
+    };
+    evconnlistener_set_error_cb(evhttp_bound_socket_get_listener(result->socket_), onAcceptFailure);
     HttpServer *self = result.get();
-    self->releaseTimer_ = loop.every(releaseInterval, [self] { self->releaseClosed(); });
+    self->checkTimer_ = loop.every(checkInterval, [self] { self->check(); });
     return result;
 }
 
