LibHttp: Fail a request at once when its connection cannot be opened

A request for which the process had no free descriptor got no outcome until its own timeout, "no response in time", although it could have run elsewhere. bufferevent_socket_connect returns an error when there is no socket, and in libevent 2.1.12 no usable event follows; HttpClient ignored the result.

The share counts it as refused if descriptors were the cause.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -14,6 +14,7 @@
 #include <cerrno>
 #include <charconv>
 #include <functional>
+#include <system_error>
 #include <utility>
 
 namespace chive {
@@ -79,6 +80,12 @@
     return head;
 }
 
+bool isWantOfDescriptors(const std::error_code &error)
+{
+    return error == std::errc::too_many_files_open
+           || error == std::errc::too_many_files_open_in_system;
+}
+
 /// The time for which the server keeps an idle connection, from `Keep-Alive: timeout=SECONDS`.
 Milliseconds idleLimitOf(std::span<const Header> headers)
 {
@@ -126,14 +133,21 @@
         };
         bufferevent_setcb(handle, onReadable, nullptr, onEvent, this);
         bufferevent_enable(handle, EV_READ | EV_WRITE);
-        const sockaddr_in address = addressOf(owner.server_);
-        bufferevent_socket_connect(handle, reinterpret_cast<const sockaddr *>(&address),
-                                   sizeof address);
     }
     ~Connection() { bufferevent_free(handle); }
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
 
+    /// Starts to connect; an error if there is no socket or no way to the server. libevent reports
+    /// such an error to nobody else.
+    [[nodiscard]] std::error_code connect()
+    {
+        const sockaddr_in address = addressOf(client.server_);
+        const int failed = bufferevent_socket_connect(
+                handle, reinterpret_cast<const sockaddr *>(&address), sizeof address);
+        return failed == 0 ? std::error_code() : std::error_code(errno, std::generic_category());
+    }
+
     /// Whether the connection is open and holds no byte. A request on a connection that the server
     /// has closed fails without a word on whether it ran.
     [[nodiscard]] bool isQuiet() const
@@ -183,7 +197,7 @@
 
 HttpClient::~HttpClient() = default;
 
-std::unique_ptr<HttpClient::Connection> HttpClient::takeConnection(std::string_view echoed)
+std::unique_ptr<HttpClient::Connection> HttpClient::takeIdle(std::string_view echoed)
 {
     // The most recently used connection is the least likely to have been closed by the server.
     for (auto next = idle_.end(); next != idle_.begin();) {
@@ -197,7 +211,18 @@
         connection->bytesSent = 0;
         return connection;
     }
-    return std::make_unique<Connection>(*this);
+    return nullptr;
+}
+
+Result<std::unique_ptr<HttpClient::Connection>> HttpClient::openConnection()
+{
+    auto connection = std::make_unique<Connection>(*this);
+    const std::error_code error = connection->connect();
+    if (!error)
+        return connection;
+    if (share_ != nullptr && isWantOfDescriptors(error))
+        share_->noteRefused();
+    return Error{Error::Kind::Unavailable, "no connection could be opened: " + error.message()};
 }
 
 HttpClient::RequestId HttpClient::send(const HttpRequest &request, Milliseconds timeout,
@@ -210,9 +235,18 @@
     active.rules = std::move(rules);
     active.callback = std::move(callback);
     active.reader = std::make_unique<ResponseReader>(active.method, maximumBodySize_);
-    active.connection = takeConnection(active.rules.echo.value);
-    active.connection->active = &active;
     active_.emplace(active.id, std::move(owned));
+    active.connection = takeIdle(active.rules.echo.value);
+    if (active.connection == nullptr) {
+        auto opened = openConnection();
+        if (!opened.has_value()) {
+            const RequestId id = active.id;
+            finish(active, HttpFailure{HttpFailure::Stage::NotSent, opened.error().message}, false);
+            return id;
+        }
+        active.connection = std::move(opened.value());
+    }
+    active.connection->active = &active;
     active.limit = loop_.after(timeout, [this, id = active.id] {
         const auto found = active_.find(id);
         if (found != active_.end())
@@ -379,10 +413,11 @@
     bytesHeld_ -= ended->reader->bytesHeld();
     ended->limit.cancel();
     std::unique_ptr<Connection> connection = std::move(ended->connection);
-    connection->active = nullptr;
+    if (connection != nullptr)
+        connection->active = nullptr;
     if (isReusable && idle_.size() < maximumIdleConnections) {
         keepIdle(std::move(connection));
-    } else {
+    } else if (connection != nullptr) {
         // No further event may reach a connection that waits to be freed.
         bufferevent_disable(connection->handle, EV_READ | EV_WRITE);
         bufferevent_setcb(connection->handle, nullptr, nullptr, nullptr, nullptr);
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -105,7 +105,8 @@
     struct Connection;
     struct Active;
 
-    std::unique_ptr<Connection> takeConnection(std::string_view echoed);
+    std::unique_ptr<Connection> takeIdle(std::string_view echoed);
+    Result<std::unique_ptr<Connection>> openConnection();
     void write(Connection &connection, const HttpRequest &request) const;
     void handleReadable(Connection &connection);
     void handleEvent(Connection &connection, short what);
