LibHttp: Let a client make room in its full share of descriptors

The clients of the target and of the store opened connections without a look at their share, so that they could take descriptors of other uses, and callers or readiness checks could not be accepted.

If a request needs a new connection and the share is full, the client now closes its own longest idle connections until there is room. With none left the request fails at once as NotSent with the cause and is counted as refused. Idle connections that may carry the request are used before, as until now.

libevent closes the socket of a freed bufferevent in a later turn of the loop, so that a lease ended before its descriptor was free. The connection now closes its socket itself: with the limit of the process just reached, opening the new connection right after closing the idle one failed with EMFILE otherwise.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -134,7 +134,16 @@
         bufferevent_setcb(handle, onReadable, nullptr, onEvent, this);
         bufferevent_enable(handle, EV_READ | EV_WRITE);
     }
-    ~Connection() { bufferevent_free(handle); }
+    ~Connection()
+    {
+        // libevent would close the socket later, but the lease ends now.
+        const evutil_socket_t socket = bufferevent_getfd(handle);
+        if (socket >= 0) {
+            bufferevent_setfd(handle, -1);
+            evutil_closesocket(socket);
+        }
+        bufferevent_free(handle);
+    }
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
 
@@ -216,6 +225,13 @@
 
 Result<std::unique_ptr<HttpClient::Connection>> HttpClient::openConnection()
 {
+    closeIdleForRoom();
+    if (share_ != nullptr && share_->isFull()) {
+        share_->noteRefused();
+        return Error{Error::Kind::Unavailable, "no connection could be opened: all "
+                                                       + std::to_string(share_->most())
+                                                       + " descriptors for this use are taken"};
+    }
     auto connection = std::make_unique<Connection>(*this);
     const std::error_code error = connection->connect();
     if (!error)
@@ -225,6 +241,15 @@
     return Error{Error::Kind::Unavailable, "no connection could be opened: " + error.message()};
 }
 
+void HttpClient::closeIdleForRoom()
+{
+    while (share_ != nullptr && share_->isFull() && !idle_.empty()) {
+        // The first one has been idle for longest.
+        idle_.erase(idle_.begin());
+        share_->noteReclaimed();
+    }
+}
+
 HttpClient::RequestId HttpClient::send(const HttpRequest &request, Milliseconds timeout,
                                        Callback callback, ResponseRules rules)
 {
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -85,7 +85,8 @@
     /// together. Beyond that the request with the largest one fails.
     void limitBytesHeld(std::size_t most) { maximumBytesHeld_ = most; }
 
-    /// From now on, new connections count towards the share.
+    /// From now on, new connections count towards the share. While it is full, an idle connection
+    /// is closed for a new one, and without any a request that needs a new one fails.
     void countIn(DescriptorShare &share) { share_ = &share; }
 
     /// Bytes of the bodies of responses that are being received.
@@ -107,6 +108,7 @@
 
     std::unique_ptr<Connection> takeIdle(std::string_view echoed);
     Result<std::unique_ptr<Connection>> openConnection();
+    void closeIdleForRoom();
     void write(Connection &connection, const HttpRequest &request) const;
     void handleReadable(Connection &connection);
     void handleEvent(Connection &connection, short what);
