Node: Keep links within their share of descriptors

A node without a free descriptor tried to accept links in a loop that took all processor time and logged a line for each attempt, since the listener stays ready and had no error callback. Links also took descriptors of other uses, as nothing acted on a full share.

After a failure to accept, the listener now rests for 50 ms, without a line; the connection waits in its queue meanwhile. With a full share an accepted link is closed at once, and a link of its own fails as one that could not be opened: frames are reported unsent, then PeerLost, without a socket. All are counted as refused.

--- a/Services/Node/LinkTask.cpp
+++ b/Services/Node/LinkTask.cpp
@@ -5,6 +5,7 @@
 #include <Node/LinkFrame.h>
 
 #include <event2/listener.h>
+#include <event2/util.h>
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 #include <prometheus/counter.h>
@@ -24,6 +25,8 @@
 constexpr std::size_t maximumFrameOverhead = 1024 * 1024; // bytes, for the head of a frame
 constexpr std::size_t maximumBacklog = 32 * 1024 * 1024;  // bytes that wait on one link
 constexpr std::size_t maximumPendingFrames = 4096;        // frames that wait for one link to open
+/// How long no link is accepted after a failure to accept one.
+constexpr Milliseconds acceptPause{50};
 
 /// A link and the frames that wait for it to open.
 struct Connection
@@ -75,6 +78,10 @@
                 reinterpret_cast<const sockaddr *>(&address), sizeof address);
         if (listener_ == nullptr)
             LOG(FATAL) << "task=link error=\"cannot listen on " << format(endpoint) << '"';
+        const auto handleError = [](evconnlistener *, void *argument) {
+            static_cast<LinkTask *>(argument)->pauseAccepting();
+        };
+        evconnlistener_set_error_cb(listener_, handleError);
     }
 
 private:
@@ -92,8 +99,22 @@
                 [this, id] { handleClosed(id); }};
     }
 
+    /// A connection that cannot be accepted stays ready, so that the loop would try again at once.
+    void pauseAccepting()
+    {
+        kernel_.descriptors().peers.noteRefused();
+        evconnlistener_disable(listener_);
+        acceptTimer_
+                = kernel_.loop().after(acceptPause, [this] { evconnlistener_enable(listener_); });
+    }
+
     void accept(int socket)
     {
+        if (kernel_.descriptors().peers.isFull()) {
+            kernel_.descriptors().peers.noteRefused();
+            evutil_closesocket(socket);
+            return;
+        }
         const ConnectionId id = nextId_++;
         connections_[id].lease = DescriptorLease(kernel_.descriptors().peers);
         connections_[id].link
@@ -116,6 +137,12 @@
     {
         const LinkKey key{frame.peer, frame.linkClass};
         const auto found = idsByKey_.find(key);
+        if (found == idsByKey_.end() && kernel_.descriptors().peers.isFull()) {
+            kernel_.descriptors().peers.noteRefused();
+            reportUnsent(frame);
+            kernel_.bus().post(PeerLost{key.peer, key.linkClass, false});
+            return;
+        }
         Connection &connection
                 = found == idsByKey_.end() ? connect(key) : connections_.at(found->second);
         if (!connection.link->isOpen()) {
@@ -226,6 +253,7 @@
 
     Kernel &kernel_;
     evconnlistener *listener_ = nullptr;
+    Timer acceptTimer_; ///< While no links are accepted.
     ConnectionId nextId_ = 1;
     std::map<ConnectionId, Connection> connections_;
     std::map<LinkKey, ConnectionId> idsByKey_;
