Node: Do not report a peer as lost for want of descriptors

Of several calls that found no descriptor for a link to a healthy peer, the later ones were reported as "may have run" although not a byte of them had left the node, so that they were not tried elsewhere. The membership was also told to probe the peer.

LinkTask posted SendFailed and then PeerLost for each frame that got no link. The router ends all attempts towards that peer on PeerLost, also those whose SendFailed is next in the queue. If the link failed for want of a descriptor, of the share or of the process, only SendFailed is posted now: nothing is known of the peer. The order between SendFailed and PeerLost towards a peer that is really away is unchanged.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -80,12 +80,6 @@
     return head;
 }
 
-bool isWantOfDescriptors(const std::error_code &error)
-{
-    return error == std::errc::too_many_files_open
-           || error == std::errc::too_many_files_open_in_system;
-}
-
 /// The time for which the server keeps an idle connection, from `Keep-Alive: timeout=SECONDS`.
 Milliseconds idleLimitOf(std::span<const Header> headers)
 {
--- a/Libraries/LibKernel/DescriptorShare.h
+++ b/Libraries/LibKernel/DescriptorShare.h
@@ -2,10 +2,18 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <system_error>
 #include <utility>
 
 namespace chive {
 
+/// Whether a system call failed since the process or the system has no descriptor left.
+[[nodiscard]] inline bool isWantOfDescriptors(const std::error_code &error)
+{
+    return error == std::errc::too_many_files_open
+           || error == std::errc::too_many_files_open_in_system;
+}
+
 /// The descriptors that one use may hold at most, and how many it holds.
 class DescriptorShare
 {
--- a/Libraries/LibLink/Link.cpp
+++ b/Libraries/LibLink/Link.cpp
@@ -1,5 +1,6 @@
 #include <LibLink/Link.h>
 
+#include <LibKernel/DescriptorShare.h>
 #include <LibKernel/EventLoop.h>
 #include <LibKernel/Socket.h>
 
@@ -8,6 +9,8 @@
 #include <event2/event.h>
 #include <event2/util.h>
 
+#include <cerrno>
+#include <system_error>
 #include <utility>
 
 namespace chive {
@@ -69,8 +72,11 @@
     const sockaddr_in address = addressOf(peer);
     const int failed = bufferevent_socket_connect(
             buffer, reinterpret_cast<const sockaddr *>(&address), sizeof address);
-    if (failed != 0)
+    if (failed != 0) {
+        link->lackedDescriptor_
+                = isWantOfDescriptors(std::error_code(errno, std::generic_category()));
         link->close();
+    }
     return link;
 }
 
--- a/Libraries/LibLink/Link.h
+++ b/Libraries/LibLink/Link.h
@@ -44,6 +44,9 @@
     /// Whether any byte of a message may have left this process.
     [[nodiscard]] bool hasOpened() const { return hasOpened_; }
 
+    /// Whether it closed for want of a descriptor, which says nothing about the peer.
+    [[nodiscard]] bool lackedDescriptor() const { return lackedDescriptor_; }
+
     /// Sends one message; false, with nothing sent, unless the link is open.
     bool send(std::string_view message);
 
@@ -72,6 +75,7 @@
     Events events_;
     State state_ = State::Connecting;
     bool hasOpened_ = false;
+    bool lackedDescriptor_ = false;
     std::size_t bytesSent_ = 0;
     std::size_t bytesReceived_ = 0;
     std::unique_ptr<WebSocketSession> session_;
--- a/Services/Node/LinkTask.cpp
+++ b/Services/Node/LinkTask.cpp
@@ -140,7 +140,6 @@
         if (found == idsByKey_.end() && kernel_.descriptors().peers.isFull()) {
             kernel_.descriptors().peers.noteRefused();
             reportUnsent(frame);
-            kernel_.bus().post(PeerLost{key.peer, key.linkClass, false});
             return;
         }
         Connection &connection
@@ -229,6 +228,10 @@
             idsByKey_.erase(current);
         for (const SendToPeer &frame : connection.pending)
             reportUnsent(frame);
+        if (connection.link->lackedDescriptor()) {
+            kernel_.descriptors().peers.noteRefused();
+            return;
+        }
         kernel_.bus().post(PeerLost{connection.key->peer, connection.key->linkClass,
                                     connection.link->hasOpened()});
     }
