LibKernel: Destroy waiting callbacks before the event base

A process could crash at its end: callbacks that had been posted while the loop ended were destroyed with the members of EventLoop, after its destructor had freed the event base. HttpClient::finish posts callbacks that hold the connection of the request, so a response that came in the last turn of the loop freed a bufferevent on a base that was gone.

Cause: EventLoop::posted_ outlived EventLoop::base_. The order of the tasks and of the bus is ruled out: the loop is the last of them to go.

EventLoop now destroys what waits first, and again what is posted by that, and then frees the base.

--- a/Libraries/LibKernel/EventLoop.cpp
+++ b/Libraries/LibKernel/EventLoop.cpp
@@ -82,6 +82,11 @@
 
 EventLoop::~EventLoop()
 {
+    // Callbacks may hold connections and timers, which must be freed before the base.
+    while (!posted_.empty()) {
+        std::deque<std::function<void()>> batch;
+        batch.swap(posted_);
+    }
     signals_.clear();
     event_free(wake_);
     event_base_free(base_);
--- a/Libraries/LibKernel/EventLoop.h
+++ b/Libraries/LibKernel/EventLoop.h
@@ -38,7 +38,8 @@
 
     [[nodiscard]] event_base *base() const { return base_; }
 
-    /// Runs the callback once the current callback has returned, in the order of posting.
+    /// Runs the callback once the current callback has returned, in the order of posting. What is
+    /// still waiting when the loop goes is destroyed without being run.
     void post(std::function<void()> callback);
 
     /// Runs the callback once, after the delay.
