Tests: Add the calm planned stop and the end of a drained process

Callers reported that requests which came late in a calm planned stop were taken, passed on and cut at its end, requests that may not be repeated among them. TestPlannedStop showed it with many callers that send one kind of request; it did not say that requests came in the last second of the drain, did not mix long and brief runs, did not use a grace time of 6 s, and did not reject a verdict in place of a run that had come late.

TestPlannedStop now plays light traffic at one node that stops, with and without readiness checks: runs of 20 s, of 0.9 s and brief ones with a deadline of their own, all to be run at most once, and the same beside one long run that holds the node until the end. A second case sends on open and on new connections until a node with nothing in flight is gone. Whatever the node reads must get an answer or a verdict.

Ruled out: a gap between the last check and the end. Drained is checked again in the callback that stops the loop, nothing is read after it, and a request that is still in a socket or in the queue of new connections is reset, which says that it was not read.

--- a/Tests/Integration/TestPlannedStop.cpp
+++ b/Tests/Integration/TestPlannedStop.cpp
@@ -7,9 +7,11 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -28,6 +30,15 @@
 /// Far more than the sockets on both sides hold.
 constexpr std::size_t largeAnswer = 7 * 1024 * 1024;
 
+/// What the settings make of a grace time of 6 s.
+constexpr Milliseconds graceDrainTimeout{5'600};
+constexpr Milliseconds lastSecond{graceDrainTimeout - Milliseconds(1'000)};
+/// The runs of requests that come later are never cut short.
+constexpr Milliseconds callerNotice{3'000};
+constexpr Milliseconds calmPace{30};
+/// A node with nothing in flight ends about a second later.
+constexpr Milliseconds beforeDrainEnds{2'000};
+
 MemberSpec photos(const std::string &name)
 {
     MemberSpec spec;
@@ -50,12 +61,12 @@
 class KeptCallers
 {
 public:
-    KeptCallers(Mesh &mesh, const Endpoint &entry)
+    KeptCallers(Mesh &mesh, const Endpoint &entry, std::size_t kept = keptConnections)
         : mesh_(mesh)
         , connections_(mesh.caller().loop(), entry)
     {
-        REQUIRE(connections_.open(keptConnections) == keptConnections);
-        for (std::size_t i = 0; i < keptConnections; ++i) {
+        REQUIRE(connections_.open(kept) == kept);
+        for (std::size_t i = 0; i < kept; ++i) {
             send({"GET", "/photos/read/first?service_ms=1", {}, nullptr});
             mesh_.caller().wait(Milliseconds(1));
         }
@@ -65,16 +76,76 @@
 
     /// Sends at an even pace.
     void sendUntilGone(Process &node, const HttpRequest &request)
+    {
+        sendUntilGone(node, std::span(&request, 1), pace);
+    }
+
+    /// Sends the requests in turn.
+    void sendUntilGone(Process &node, std::span<const HttpRequest> requests, Milliseconds interval)
     {
         begin_ = SystemClock().now();
-        while (node.isRunning() && send(request))
-            mesh_.caller().wait(pace);
+        for (std::size_t i = 0; node.isRunning() && send(requests[i % requests.size()]); ++i)
+            mesh_.caller().wait(interval);
         CHECK(finish());
         node.waitForEnd(Milliseconds(20'000));
     }
 
+    /// Opens a connection for each request.
+    void sendOnNewConnectionsUntilGone(Process &node, const HttpRequest &request,
+                                       Milliseconds interval)
+    {
+        begin_ = SystemClock().now();
+        while (node.isRunning()) {
+            if (connections_.open(1) == 1)
+                send(request);
+            mesh_.caller().wait(interval);
+        }
+        CHECK(finish());
+    }
+
     [[nodiscard]] std::size_t count() const { return sent_.size(); }
 
+    /// Requests sent since then that the node read.
+    [[nodiscard]] std::size_t countSince(Milliseconds sinceStop) const
+    {
+        return std::ranges::count_if(sent_, [&](const auto &entry) {
+            return entry.second.sentAt >= sinceStop && entry.second.result.wasRead;
+        });
+    }
+
+    /// Requests sent since then that got the target's own answer.
+    [[nodiscard]] std::size_t answeredSince(Milliseconds sinceStop) const
+    {
+        return std::ranges::count_if(sent_, [&](const auto &entry) {
+            return entry.second.sentAt >= sinceStop && entry.second.result.call.isAnswer();
+        });
+    }
+
+    /// Requests sent since then that the node gave up because it stopped.
+    [[nodiscard]] std::string givenUpSince(Milliseconds sinceStop) const
+    {
+        std::set<std::string> ids;
+        for (const auto &[id, sent] : sent_) {
+            if (sent.sentAt >= sinceStop)
+                ids.insert(id);
+        }
+        return describe([&](const std::string &id, const KeptResult &result) {
+            return ids.contains(id) && result.call.execution() == Execution::MayHaveRun;
+        });
+    }
+
+    /// Requests that ran more than once.
+    [[nodiscard]] std::string repeated() const
+    {
+        std::map<std::string, std::size_t> runs;
+        for (const RunRecord &record : mesh_.executions())
+            ++runs[record.requestId];
+        return describe([&](const std::string &id, const KeptResult &) {
+            const auto found = runs.find(id);
+            return found != runs.end() && found->second > 1;
+        });
+    }
+
     /// Requests that got the target's own answer.
     [[nodiscard]] std::size_t answered() const
     {
@@ -280,6 +351,104 @@
     }
 }
 
+TEST_CASE("Requests that come late in a calm planned stop are cut without an answer")
+{
+    Mesh mesh;
+    mesh.startLog();
+    mesh.publish("first", "", releaseNote("first", {"photos"}));
+    MemberSpec spec = photos("photos-0");
+    spec.drainTimeout = graceDrainTimeout;
+    const auto stop = [&] {
+        RunningMember &leaving = mesh.add(spec);
+        RunningMember &staying = mesh.add(photos("photos-1"));
+        for (RunningMember *member : {&leaving, &staying})
+            REQUIRE(mesh.waitUntilAnswered(*member, "/photos/read/ready"));
+        KeptCallers callers(mesh, leaving.callers);
+        // The drain lasts to its end: the first of these runs does.
+        const std::array<HttpRequest, 3> requests{
+                HttpRequest{"POST", "/photos/upload/x?service_ms=20000", {}, makeBody("x")},
+                HttpRequest{"POST", "/photos/write/x?service_ms=900", {}, makeBody("x")},
+                HttpRequest{"POST",
+                            "/photos/write/x?service_ms=1",
+                            {{"Chive-Deadline-Ms", "400"}},
+                            makeBody("x")}};
+
+        SUBCASE("when some of them run long")
+        {
+            leaving.node.terminate();
+            callers.sendUntilGone(leaving.node, requests, calmPace);
+            CHECK(callers.countSince(lastSecond) > 0);
+        }
+
+        SUBCASE("when one long run holds the node until the end")
+        {
+            mesh.caller().start(leaving.callers, requests[0], [](const CallResult &) {});
+            REQUIRE(mesh.caller().waitUntil([&] {
+                return std::ranges::any_of(mesh.executions(), [](const RunRecord &record) {
+                    return record.path.find("/upload/") != std::string::npos;
+                });
+            }));
+            leaving.node.terminate();
+            callers.sendUntilGone(leaving.node, std::span(requests).subspan(1), calmPace);
+            CHECK(callers.countSince(lastSecond) > 0);
+            CHECK(callers.answeredSince(callerNotice) > 0);
+        }
+
+        CHECK(callers.lost() == "");
+        CHECK(callers.refusedButRun() == "");
+        CHECK(callers.repeated() == "");
+        CHECK(callers.givenUpSince(callerNotice) == "");
+    };
+
+    SUBCASE("at a node whose callers cannot check readiness")
+    {
+        stop();
+    }
+
+    SUBCASE("at a node whose callers check readiness")
+    {
+        spec.hasReady = true;
+        stop();
+    }
+}
+
+TEST_CASE("Requests that cross the end of a drained process are read and dropped")
+{
+    Mesh mesh;
+    mesh.startLog();
+    mesh.publish("first", "", releaseNote("first", {"photos"}));
+    const HttpRequest request{"POST", "/photos/write/x?service_ms=1", {}, makeBody("x")};
+    MemberSpec spec = photos("photos-0");
+    spec.drainTimeout = graceDrainTimeout;
+    spec.hasReady = true;
+    RunningMember &leaving = mesh.add(spec);
+    REQUIRE(mesh.waitUntilAnswered(leaving, "/photos/read/ready"));
+    const auto check = [&](const KeptCallers &callers) {
+        CHECK(leaving.node.waitForEnd(Milliseconds(20'000)) == 0);
+        CHECK(callers.count() > 20);
+        CHECK(callers.lost() == "");
+        CHECK(callers.refusedButRun() == "");
+    };
+
+    SUBCASE("on open connections")
+    {
+        KeptCallers callers(mesh, leaving.callers);
+        leaving.node.terminate();
+        mesh.caller().wait(beforeDrainEnds);
+        callers.sendUntilGone(leaving.node, std::span(&request, 1), Milliseconds(1));
+        check(callers);
+    }
+
+    SUBCASE("on new connections")
+    {
+        KeptCallers callers(mesh, leaving.callers, 0);
+        leaving.node.terminate();
+        mesh.caller().wait(beforeDrainEnds);
+        callers.sendOnNewConnectionsUntilGone(leaving.node, request, Milliseconds(1));
+        check(callers);
+    }
+}
+
 TEST_CASE("Work that outlasts a planned stop ends with the link or connection")
 {
     Mesh mesh;
