ChiveRouter: Count the time of a stop from the signal, not its handling

A process that was frozen as SIGTERM came drained for its whole drain timeout after it woke, and was killed at the end of the grace time, with its requests in flight.

Cause: the schedule of a stop began when the signal was handled. The grace time of the platform counts from when it was sent, whether the process or its machine runs or not.

EventLoop notes ten times a second that it runs, on a clock that also counts suspension, and tells how old a signal may be at most. A pause of less than 300 ms counts as none. The stop counts from then; what is in flight gets its verdict also when the time is over by then.

The other forms of the case pass before and after the change, which rules them out: 3,000 open connections, no descriptors left, a signal during the start, and freezes during the stop. TestEventLoop and TestDrainSchedule check the parts.

Not covered: a machine that is suspended during the stop, on which libevent's timers do not count.

--- a/Libraries/LibKernel/EventLoop.cpp
+++ b/Libraries/LibKernel/EventLoop.cpp
@@ -4,6 +4,7 @@
 #include <glog/logging.h>
 
 #include <csignal>
+#include <ctime>
 #include <memory>
 #include <utility>
 
@@ -11,6 +12,18 @@
 
 namespace {
 
+constexpr Milliseconds runInterval{100};
+/// Shorter pauses are normal on a busy machine.
+constexpr Milliseconds shortestPause{300};
+
+/// Unlike the steady clock, it counts the time for which the machine is suspended.
+std::chrono::nanoseconds sinceBoot()
+{
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
 timeval toTimeval(Milliseconds duration)
 {
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(duration);
@@ -70,6 +83,8 @@
 
 EventLoop::EventLoop()
     : base_(makeBase())
+    , lastRunAt_(sinceBoot())
+    , runBeforeAt_(lastRunAt_)
 {
     CHECK(base_ != nullptr) << "libevent offers no event base";
     // A write to a connection that the peer has closed must be an error, not the end.
@@ -78,6 +93,8 @@
         static_cast<EventLoop *>(argument)->drain();
     };
     wake_ = event_new(base_, -1, EV_PERSIST, wake, this);
+    runTimer_
+            = every(runInterval, [this] { runBeforeAt_ = std::exchange(lastRunAt_, sinceBoot()); });
 }
 
 EventLoop::~EventLoop()
@@ -87,6 +104,7 @@
         std::deque<std::function<void()>> batch;
         batch.swap(posted_);
     }
+    runTimer_.cancel();
     signals_.clear();
     event_free(wake_);
     event_base_free(base_);
@@ -130,6 +148,17 @@
     signals_.push_back(std::move(handler));
 }
 
+Milliseconds EventLoop::pause() const
+{
+    const auto now = sinceBoot();
+    // After a pause libevent runs timers ahead of signals.
+    if (lastRunAt_ - runBeforeAt_ >= shortestPause)
+        return std::chrono::ceil<Milliseconds>(now - runBeforeAt_);
+    if (now - lastRunAt_ >= shortestPause)
+        return std::chrono::ceil<Milliseconds>(now - lastRunAt_);
+    return Milliseconds(0);
+}
+
 void EventLoop::run()
 {
     event_base_loop(base_, EVLOOP_NO_EXIT_ON_EMPTY);
--- a/Libraries/LibKernel/EventLoop.h
+++ b/Libraries/LibKernel/EventLoop.h
@@ -51,6 +51,10 @@
     /// Calls back on each arrival of the signal, until the loop is gone.
     void onSignal(int number, std::function<void()> callback);
 
+    /// The greatest age of a signal that is handled now, if the process or its machine did not run
+    /// until shortly before; 0 when it ran all the time.
+    [[nodiscard]] Milliseconds pause() const;
+
     void run();
     void stop();
 
@@ -63,6 +67,9 @@
     event *wake_ = nullptr;
     std::deque<std::function<void()>> posted_;
     std::vector<std::unique_ptr<SignalHandler>> signals_;
+    std::chrono::nanoseconds lastRunAt_; ///< Since the machine was started.
+    std::chrono::nanoseconds runBeforeAt_;
+    Timer runTimer_;
 };
 
 } // namespace chive
--- a/Libraries/LibNode/DrainSchedule.cpp
+++ b/Libraries/LibNode/DrainSchedule.cpp
@@ -23,12 +23,13 @@
 
 } // namespace
 
-DrainSchedule drainScheduleOf(const Settings &settings, TimePoint stopRequestedAt)
+DrainSchedule drainScheduleOf(const Settings &settings, TimePoint stopRequestedAt, TimePoint now)
 {
     DrainSchedule schedule;
-    schedule.endsAt = stopRequestedAt + settings.drainTimeout;
-    schedule.answersBy = std::max(schedule.endsAt - verdictPeriod, stopRequestedAt);
-    schedule.deadline = std::max(schedule.answersBy - answerPeriod, stopRequestedAt);
+    schedule.endsAt = std::max(stopRequestedAt + settings.drainTimeout,
+                               now + std::min(settings.drainTimeout, verdictPeriod));
+    schedule.answersBy = std::max(schedule.endsAt - verdictPeriod, now);
+    schedule.deadline = std::max(schedule.answersBy - answerPeriod, now);
     schedule.admitsUntil = std::min(stopRequestedAt + callerNoticePeriod,
                                     std::max(schedule.deadline - minimumTime, stopRequestedAt));
     const TimePoint noticeEnds = settings.ready
--- a/Libraries/LibNode/DrainSchedule.h
+++ b/Libraries/LibNode/DrainSchedule.h
@@ -21,7 +21,10 @@
     TimePoint endsAt;      ///< The process ends in any case.
 };
 
-[[nodiscard]] DrainSchedule drainScheduleOf(const Settings &settings, TimePoint stopRequestedAt);
+/// `now` is later than the request if the process did not run meanwhile. What is in flight gets its
+/// verdict even if the drain timeout is over by then.
+[[nodiscard]] DrainSchedule drainScheduleOf(const Settings &settings, TimePoint stopRequestedAt,
+                                            TimePoint now);
 
 /// Who makes a call.
 enum class CallOrigin : std::uint8_t {
--- a/Services/ChiveRouter/NodeCommand.cpp
+++ b/Services/ChiveRouter/NodeCommand.cpp
@@ -38,10 +38,13 @@
             return;
         }
         hasBegun_ = true;
-        LOG(INFO) << "event=stop-requested";
-        kernel_.bus().post(
-                StopRequested{drainScheduleOf(kernel_.settings(), kernel_.clock().now())});
-        limit_ = kernel_.loop().after(kernel_.settings().drainTimeout,
+        // The grace time also counts while the process does not run.
+        const Milliseconds age = kernel_.loop().pause();
+        const TimePoint now = kernel_.clock().now();
+        LOG(INFO) << "event=stop-requested age_ms=" << age.count();
+        const DrainSchedule schedule = drainScheduleOf(kernel_.settings(), now - age, now);
+        kernel_.bus().post(StopRequested{schedule});
+        limit_ = kernel_.loop().after(std::chrono::ceil<Milliseconds>(schedule.endsAt - now),
                                       [this] { abandon("drain timeout"); });
     }
 
--- a/Tests/Integration/TestPlannedStop.cpp
+++ b/Tests/Integration/TestPlannedStop.cpp
@@ -30,7 +30,9 @@
 /// Far more than the sockets on both sides hold.
 constexpr std::size_t largeAnswer = 7 * 1024 * 1024;
 
-/// What the settings make of a grace time of 6 s.
+/// A process that still runs this long after SIGTERM is killed.
+constexpr Milliseconds grace{6'000};
+/// What the settings make of that grace time.
 constexpr Milliseconds graceDrainTimeout{5'600};
 constexpr Milliseconds lastSecond{graceDrainTimeout - Milliseconds(1'000)};
 /// The runs of requests that come later are never cut short.
@@ -38,6 +40,11 @@
 constexpr Milliseconds calmPace{30};
 /// A node with nothing in flight ends about a second later.
 constexpr Milliseconds beforeDrainEnds{2'000};
+constexpr int startCount = 8;
+constexpr Milliseconds startDelayStep{5};
+/// More than 128 descriptors hold, and the queue of new connections holds the rest.
+constexpr std::size_t connectionsOverLimit = 200;
+constexpr std::size_t manyConnections = 3'000;
 
 MemberSpec photos(const std::string &name)
 {
@@ -449,6 +456,111 @@
     }
 }
 
+TEST_CASE("A process outlives the grace time of its planned stop")
+{
+    Mesh mesh;
+    mesh.startLog();
+    mesh.publish("first", "", releaseNote("first", {"photos"}));
+    Caller &caller = mesh.caller();
+    MemberSpec spec = photos("photos-0");
+    spec.drainTimeout = graceDrainTimeout;
+    spec.hasReady = true;
+    RunningMember &leaving = mesh.add(spec);
+    REQUIRE(mesh.waitUntilAnswered(leaving, "/photos/read/ready"));
+    KeptConnections connections(caller.loop(), leaving.callers);
+    std::vector<CallResult> held;
+    const auto hold = [&] {
+        caller.start(leaving.callers,
+                     {"POST", "/photos/upload/held?service_ms=20000", {}, makeBody("x")},
+                     [&](CallResult result) { held.push_back(std::move(result)); });
+        REQUIRE(caller.waitUntil([&] {
+            return std::ranges::any_of(Mesh::executions(leaving), [](const RunRecord &record) {
+                return record.path.find("/held") != std::string::npos;
+            });
+        }));
+    };
+    TimePoint stoppedAt;
+    const auto stop = [&] {
+        stoppedAt = SystemClock().now();
+        leaving.node.terminate();
+    };
+    const auto sinceStop = [&] {
+        return std::chrono::duration_cast<Milliseconds>(SystemClock().now() - stoppedAt);
+    };
+
+    // The node runs from a shell: $0 is the program and $1 the settings.
+    const auto restart = [&](const std::string &script) {
+        leaving.node.kill();
+        leaving.node = Process("/bin/sh", {"-c", script, CHIVE_NODE_PROGRAM, leaving.settingsFile},
+                               mesh.workspace().pathOf("restarted-node.log"));
+    };
+
+    SUBCASE("with thousands of open connections")
+    {
+        REQUIRE(connections.open(manyConnections) == manyConnections);
+        hold();
+        stop();
+    }
+
+    SUBCASE("when it was frozen as the signal came")
+    {
+        hold();
+        caller.wait(Milliseconds(300));
+        leaving.node.freeze();
+        stop();
+        caller.wait(Milliseconds(2'500));
+        leaving.node.thaw();
+    }
+
+    SUBCASE("when it has no descriptors left")
+    {
+        restart("ulimit -n 128; exec \"$0\" node --settings=\"$1\"");
+        REQUIRE(mesh.waitUntilAnswered(leaving, "/photos/read/again"));
+        hold();
+        REQUIRE(connections.open(connectionsOverLimit) == connectionsOverLimit);
+        caller.wait(Milliseconds(500));
+        stop();
+    }
+
+    SUBCASE("when the signal comes while it starts")
+    {
+        std::vector<RunningMember *> starting;
+        for (int i = 0; i < startCount; ++i) {
+            MemberSpec other = photos("starting-" + std::to_string(i));
+            other.hasTarget = false;
+            starting.push_back(&mesh.add(other));
+            caller.wait(startDelayStep * i);
+            starting.back()->node.terminate();
+        }
+        stop();
+        for (RunningMember *member : starting)
+            CHECK(member->node.waitForEnd(grace).has_value());
+    }
+
+    SUBCASE("when it is frozen during the stop, again and again")
+    {
+        hold();
+        stop();
+        for (int i = 0; i < 3; ++i) {
+            caller.wait(Milliseconds(500));
+            leaving.node.freeze();
+            caller.wait(Milliseconds(500));
+            leaving.node.thaw();
+        }
+    }
+
+    while (leaving.node.isRunning() && sinceStop() < 2 * grace)
+        caller.wait(Milliseconds(10));
+    CHECK(sinceStop().count() < grace.count());
+    REQUIRE(caller.waitUntil([&] { return caller.inFlight() == 0; }));
+    for (const CallResult &result : held) {
+        CAPTURE(result.failure.message);
+        CAPTURE(result.status());
+        CAPTURE(result.took.count());
+        CHECK(result.reason() == "leaving");
+    }
+}
+
 TEST_CASE("Work that outlasts a planned stop ends with the link or connection")
 {
     Mesh mesh;
--- a/Tests/LibKernel/TestEventLoop.cpp
+++ b/Tests/LibKernel/TestEventLoop.cpp
@@ -7,11 +7,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <csignal>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <thread>
 
 using namespace chive;
 
@@ -97,3 +100,45 @@
         close(sockets[1]);
     }
 }
+
+TEST_CASE("The time for which the process did not run is not seen")
+{
+    EventLoop loop;
+    Milliseconds pause{-1};
+    loop.onSignal(SIGUSR1, [&] {
+        pause = loop.pause();
+        loop.stop();
+    });
+
+    SUBCASE("before a signal that came meanwhile")
+    {
+        const Timer sleeper = loop.after(Milliseconds(150), [] {
+            std::this_thread::sleep_for(Milliseconds(500));
+            REQUIRE(raise(SIGUSR1) == 0);
+        });
+        loop.run();
+        CHECK(pause >= Milliseconds(500));
+        CHECK(pause < Milliseconds(5'000));
+    }
+
+    SUBCASE("and there was none before a signal that comes while it waits")
+    {
+        const SystemClock clock;
+        TimePoint lastTick = clock.now();
+        Milliseconds longestGap{0}; // Longer when the machine itself did not let the loop run.
+        const auto noteGap = [&] {
+            const auto gap = std::chrono::ceil<Milliseconds>(clock.now() - lastTick);
+            longestGap = std::max(longestGap, gap);
+            lastTick = clock.now();
+        };
+        const Timer ticks = loop.every(Milliseconds(10), noteGap);
+        const Timer sender = loop.after(Milliseconds(450), [] { REQUIRE(raise(SIGUSR1) == 0); });
+        loop.run();
+        noteGap();
+        CAPTURE(longestGap.count());
+        if (longestGap < Milliseconds(150))
+            CHECK(pause == Milliseconds(0));
+        else
+            CHECK(pause < longestGap + Milliseconds(150));
+    }
+}
