ChiveRouter: Keep running when nobody reads standard error

A process whose log reader stopped hung as soon as the pipe was full, did not handle SIGTERM any more and was killed at the end of the grace time.

Cause: log lines and the warnings of libevent are written to standard error, which blocked. Standard output was non-blocking already, for the decision log.

Standard error is non-blocking now; lines that find no room are lost. A terminal or a pipe that is shared with other processes becomes non-blocking for them as well, as with standard output.

--- a/Services/ChiveRouter/NodeCommand.cpp
+++ b/Services/ChiveRouter/NodeCommand.cpp
@@ -5,6 +5,8 @@
 #include <glog/logging.h>
 
 #include <csignal>
+#include <fcntl.h>
+#include <unistd.h>
 
 namespace chive {
 
@@ -70,6 +72,14 @@
     LOG(INFO) << "event=settings-signal valid=" << isValid;
 }
 
+/// Lines that find no room are lost: whoever reads them must not be able to stop the process.
+void writeErrorsWithoutBlocking()
+{
+    const int flags = fcntl(STDERR_FILENO, F_GETFL);
+    if (flags != -1)
+        fcntl(STDERR_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
 ExitCode runNode(ParsedArguments &arguments)
 {
     const std::optional<Settings> settings = readSettings(arguments["--settings"].asString());
@@ -81,6 +91,7 @@
     }
     // A peer that closes its connection must not end this process.
     std::signal(SIGPIPE, SIG_IGN);
+    writeErrorsWithoutBlocking();
     const SystemClock clock;
     Kernel kernel(*settings, clock);
     const Shutdown shutdown(kernel);
--- a/Tests/Integration/TestPlannedStop.cpp
+++ b/Tests/Integration/TestPlannedStop.cpp
@@ -8,11 +8,14 @@
 
 #include <algorithm>
 #include <array>
+#include <fcntl.h>
 #include <map>
 #include <optional>
 #include <set>
 #include <span>
 #include <string>
+#include <sys/stat.h>
+#include <unistd.h>
 #include <vector>
 
 using namespace chive;
@@ -488,10 +491,11 @@
         return std::chrono::duration_cast<Milliseconds>(SystemClock().now() - stoppedAt);
     };
 
-    // The node runs from a shell: $0 is the program and $1 the settings.
-    const auto restart = [&](const std::string &script) {
+    // The node runs from a shell: $0 is the program, $1 the settings and $2 the argument.
+    const auto restart = [&](const std::string &script, const std::string &argument) {
         leaving.node.kill();
-        leaving.node = Process("/bin/sh", {"-c", script, CHIVE_NODE_PROGRAM, leaving.settingsFile},
+        leaving.node = Process("/bin/sh",
+                               {"-c", script, CHIVE_NODE_PROGRAM, leaving.settingsFile, argument},
                                mesh.workspace().pathOf("restarted-node.log"));
     };
 
@@ -514,7 +518,7 @@
 
     SUBCASE("when it has no descriptors left")
     {
-        restart("ulimit -n 128; exec \"$0\" node --settings=\"$1\"");
+        restart("ulimit -n 128; exec \"$0\" node --settings=\"$1\"", "");
         REQUIRE(mesh.waitUntilAnswered(leaving, "/photos/read/again"));
         hold();
         REQUIRE(connections.open(connectionsOverLimit) == connectionsOverLimit);
@@ -522,6 +526,20 @@
         stop();
     }
 
+    SUBCASE("when nobody reads what it writes")
+    {
+        const std::string output = mesh.workspace().pathOf("output");
+        REQUIRE(mkfifo(output.c_str(), S_IRUSR | S_IWUSR) == 0);
+        const int reader = open(output.c_str(), O_RDWR | O_NONBLOCK | O_CLOEXEC);
+        REQUIRE(reader != -1);
+        const std::string filler(4096, '\n');
+        while (write(reader, filler.data(), filler.size()) > 0) {
+        }
+        restart("exec \"$0\" node --settings=\"$1\" 2> \"$2\"", output);
+        caller.wait(Milliseconds(2'000));
+        stop();
+    }
+
     SUBCASE("when the signal comes while it starts")
     {
         std::vector<RunningMember *> starting;
