--- a/Services/ChiveRouter/NodeCommand.cpp
+++ b/Services/ChiveRouter/NodeCommand.cpp
@@ -5,6 +5,8 @@
 #include <glog/logging.h>
 
 #include <csignal>
+#include <fcntl.h>
+#include <unistd.h>
 
 namespace chive {
 
@@ -38,10 +40,13 @@
             return;
         }
         hasBegun_ = true;
-        LOG(INFO) << "event=stop-requested";
-        kernel_.bus().post(
-                StopRequested{drainScheduleOf(kernel_.settings(), kernel_.clock().now())});
-        limit_ = kernel_.loop().after(kernel_.settings().drainTimeout,
+        // The grace time also counts while the process does not run.
+        const Milliseconds age = kernel_.loop().pause();
+        const TimePoint now = kernel_.clock().now();
+        LOG(INFO) << "event=stop-requested age_ms=" << age.count();
+        const DrainSchedule schedule = drainScheduleOf(kernel_.settings(), now - age, now);
+        kernel_.bus().post(StopRequested{schedule});
+        limit_ = kernel_.loop().after(std::chrono::ceil<Milliseconds>(schedule.endsAt - now),
                                       [this] { abandon("drain timeout"); });
     }
 
@@ -67,6 +72,14 @@
     LOG(INFO) << "event=settings-signal valid=" << isValid;
 }
 
+/// Lines that find no room are lost: whoever reads them must not be able to stop the process.
+void writeErrorsWithoutBlocking()
+{
+    const int flags = fcntl(STDERR_FILENO, F_GETFL);
+    if (flags != -1)
+        fcntl(STDERR_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
 ExitCode runNode(ParsedArguments &arguments)
 {
     const std::optional<Settings> settings = readSettings(arguments["--settings"].asString());
@@ -78,6 +91,7 @@
     }
     // A peer that closes its connection must not end this process.
     std::signal(SIGPIPE, SIG_IGN);
+    writeErrorsWithoutBlocking();
     const SystemClock clock;
     Kernel kernel(*settings, clock);
     const Shutdown shutdown(kernel);
