Tests: Follow a head that a target cut to the caller's connection

Says between real processes what the tests of the HTTP client say for one connection. The target is a stand-in of its own, as a reset needs the raw socket: `chiverouter-standins cutting-target` sends a part of a head and then closes, resets or falls silent, as each request's query says.

A caller's socket, read byte by byte up to the close, gets one response whose length equals its body, with a status of 5xx and `may-have-run`, from the node beside the target and over a link from another node. The target runs the request once. Where another target is there, it answers idempotent requests whole and gets no other. A target that calls gets a 5xx for such a call too (close and reset only).

--- a/Utilities/StandIns/Main.cpp
+++ b/Utilities/StandIns/Main.cpp
@@ -1,4 +1,5 @@
 #include <LibKernel/EventLoop.h>
+#include <StandIns/CuttingTarget.h>
 #include <StandIns/LogStandIn.h>
 #include <StandIns/TargetStandIn.h>
 
@@ -26,6 +27,8 @@
                               [--connections=N] [--service-time-ms=N] [--cold-ms=N] [--seed=N]
                               [--calls=LIST] [--executions=FILE]
                               [--announce=IP:PORT]
+  chiverouter-standins cutting-target --service=S --listen=IP:PORT --node=IP:PORT --slots=N
+                              [--connections=N] [--executions=FILE]
   chiverouter-standins --help
 
 Options:
@@ -80,6 +83,19 @@
     return options;
 }
 
+CuttingTarget::Options cuttingTargetOptions(const Arguments &arguments)
+{
+    CuttingTarget::Options options;
+    options.service = arguments.at("--service").asString();
+    options.listen = endpointOf(arguments, "--listen");
+    options.node = endpointOf(arguments, "--node");
+    options.slots = arguments.at("--slots").asLong();
+    options.connections = arguments.at("--connections").asLong();
+    if (arguments.at("--executions"))
+        options.executionsFile = arguments.at("--executions").asString();
+    return options;
+}
+
 int reportStart(const Result<void> &started)
 {
     if (started)
@@ -107,6 +123,13 @@
             loop.run();
         return status;
     }
+    if (arguments.at("cutting-target").asBool()) {
+        CuttingTarget target(loop, clock, cuttingTargetOptions(arguments));
+        const int status = reportStart(target.start());
+        if (status == 0)
+            loop.run();
+        return status;
+    }
     TargetStandIn target(loop, clock, targetOptions(arguments));
     const int status = reportStart(target.start());
     if (status == 0)
