--- a/Meta/install.sh
+++ b/Meta/install.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs what the build and the tests need, from Debian's packages only.
 set -euo pipefail
-packages=(g++ cmake ninja-build ccache clang-format clang-tidy
+packages=(g++ cmake make ninja-build ccache clang-format clang-tidy
     libevent-dev libwebsocketpp-dev prometheus-cpp-dev libdocopt-dev libgoogle-glog-dev
     libboost-dev doctest-dev libtomlplusplus-dev nlohmann-json3-dev librapidcheck-dev
     libxxhash-dev libhttp-parser-dev)
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -5,5 +5,6 @@
 Meta/install.sh
 Meta/build.sh
 Meta/check-platform-names.sh
+Meta/check-deploy-build.sh
 Meta/lint.sh
 Meta/run-tests.sh
