Node: Do not take a probe without a descriptor for a crash of the target

After a lost connection a node that had no free descriptor reported a crash of its target, and the requests in flight were counted as suspects for the quarantine, although the target answered.

The probe's request fails as NotSent both if the target refuses the connection and if the node cannot make one, and CrashDetector took both for a crash. HttpFailure now says whether a descriptor was lacking, and such a probe shows nothing. The probe counts towards the share of the target.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -217,22 +217,28 @@
     return nullptr;
 }
 
-Result<std::unique_ptr<HttpClient::Connection>> HttpClient::openConnection()
+outcome::result<std::unique_ptr<HttpClient::Connection>, HttpFailure, outcome::policy::all_narrow>
+HttpClient::openConnection()
 {
+    const auto failure = [](const std::string &cause, bool lacksDescriptor) {
+        return HttpFailure{HttpFailure::Stage::NotSent, "no connection could be opened: " + cause,
+                           lacksDescriptor};
+    };
     closeIdleForRoom();
     if (share_ != nullptr && share_->isFull()) {
         share_->noteRefused();
-        return Error{Error::Kind::Unavailable, "no connection could be opened: all "
-                                                       + std::to_string(share_->most())
-                                                       + " descriptors for this use are taken"};
+        return failure("all " + std::to_string(share_->most())
+                               + " descriptors for this use are taken",
+                       true);
     }
     auto connection = std::make_unique<Connection>(*this);
     const std::error_code error = connection->connect();
     if (!error)
         return connection;
-    if (share_ != nullptr && isWantOfDescriptors(error))
+    const bool lacksDescriptor = isWantOfDescriptors(error);
+    if (share_ != nullptr && lacksDescriptor)
         share_->noteRefused();
-    return Error{Error::Kind::Unavailable, "no connection could be opened: " + error.message()};
+    return failure(error.message(), lacksDescriptor);
 }
 
 void HttpClient::closeIdleForRoom()
@@ -260,7 +266,7 @@
         auto opened = openConnection();
         if (!opened.has_value()) {
             const RequestId id = active.id;
-            finish(active, HttpFailure{HttpFailure::Stage::NotSent, opened.error().message}, false);
+            finish(active, opened.error(), false);
             return id;
         }
         active.connection = std::move(opened.value());
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -30,6 +30,8 @@
 
     Stage stage = Stage::NotSent;
     std::string message;
+    /// No connection could be opened for want of a descriptor, which says nothing about the server.
+    bool lacksDescriptor = false;
 };
 
 /// A header that the server is expected to repeat from the request, so that a response can be tied
@@ -107,7 +109,8 @@
     struct Active;
 
     std::unique_ptr<Connection> takeIdle(std::string_view echoed);
-    Result<std::unique_ptr<Connection>> openConnection();
+    outcome::result<std::unique_ptr<Connection>, HttpFailure, outcome::policy::all_narrow>
+    openConnection();
     void closeIdleForRoom();
     void write(Connection &connection, const HttpRequest &request) const;
     void handleReadable(Connection &connection);
--- a/Services/Node/CrashDetector.cpp
+++ b/Services/Node/CrashDetector.cpp
@@ -51,12 +51,14 @@
 void CrashDetector::probe()
 {
     client_ = std::make_unique<HttpClient>(kernel_.loop(), target_, maximumProbeBodySize);
+    client_->countIn(kernel_.descriptors().target);
     client_->send({"GET", "/health", {}, nullptr}, probeTimeout,
                   [this](const HttpClient::Outcome &outcome) {
                       auto suspects = std::exchange(suspects_, {});
                       const bool isNotListening
                               = !outcome.has_value()
-                                && outcome.error().stage == HttpFailure::Stage::NotSent;
+                                && outcome.error().stage == HttpFailure::Stage::NotSent
+                                && !outcome.error().lacksDescriptor;
                       if (!isNotListening)
                           return;
                       LOG(WARNING) << "task=target event=crashed in_flight=" << suspects.size();
--- a/Services/Node/CrashDetector.h
+++ b/Services/Node/CrashDetector.h
@@ -15,7 +15,7 @@
 
 /// Distinguishes a crash of the target from a lost connection. After a connection is lost it probes
 /// the target, and if the target does not accept connections, posts TargetCrashed with all calls
-/// that were in flight.
+/// that were in flight. A probe that lacks a descriptor shows nothing.
 class CrashDetector
 {
 public:
--- a/Tests/LibHttp/TestClientConnections.cpp
+++ b/Tests/LibHttp/TestClientConnections.cpp
@@ -1,11 +1,9 @@
+#include <Harness/NoFreeDescriptor.h>
 #include <LibHttp/HttpClient.h>
 #include <LibHttp/HttpServer.h>
 #include <LibKernel/EventLoop.h>
 
 #include <doctest/doctest.h>
-#include <fcntl.h>
-#include <sys/resource.h>
-#include <unistd.h>
 
 #include <optional>
 #include <string>
@@ -22,28 +20,6 @@
 /// Far less than the timeout of a request.
 constexpr Milliseconds promptly{300};
 
-/// Leaves this process no free descriptor for as long as it exists.
-class NoFreeDescriptor
-{
-public:
-    NoFreeDescriptor()
-    {
-        REQUIRE(getrlimit(RLIMIT_NOFILE, &before_) == 0);
-        const int lowestFree = open("/dev/null", O_RDONLY);
-        REQUIRE(lowestFree >= 0);
-        close(lowestFree);
-        rlimit limit = before_;
-        limit.rlim_cur = static_cast<rlim_t>(lowestFree);
-        REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
-    }
-    ~NoFreeDescriptor() { setrlimit(RLIMIT_NOFILE, &before_); }
-    NoFreeDescriptor(const NoFreeDescriptor &) = delete;
-    NoFreeDescriptor &operator=(const NoFreeDescriptor &) = delete;
-
-private:
-    rlimit before_{};
-};
-
 constexpr int failure = 503;
 
 /// A client and its server, which answers `/fail` with a failure and `/hold` when it is told to.
--- a/Tests/LibLink/TestLinkDescriptors.cpp
+++ b/Tests/LibLink/TestLinkDescriptors.cpp
@@ -1,3 +1,4 @@
+#include <Harness/NoFreeDescriptor.h>
 #include <LibKernel/Kernel.h>
 #include <LibKernel/Socket.h>
 #include <LibNode/Messages.h>
@@ -5,7 +6,6 @@
 #include <doctest/doctest.h>
 #include <event2/event.h>
 #include <fcntl.h>
-#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -26,28 +26,6 @@
 constexpr Milliseconds observed{500};
 constexpr Milliseconds timeLimit{1'000};
 
-/// Leaves this process no free descriptor for as long as it exists.
-class NoFreeDescriptor
-{
-public:
-    NoFreeDescriptor()
-    {
-        REQUIRE(getrlimit(RLIMIT_NOFILE, &before_) == 0);
-        const int lowestFree = open("/dev/null", O_RDONLY);
-        REQUIRE(lowestFree >= 0);
-        close(lowestFree);
-        rlimit limit = before_;
-        limit.rlim_cur = static_cast<rlim_t>(lowestFree);
-        REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
-    }
-    ~NoFreeDescriptor() { setrlimit(RLIMIT_NOFILE, &before_); }
-    NoFreeDescriptor(const NoFreeDescriptor &) = delete;
-    NoFreeDescriptor &operator=(const NoFreeDescriptor &) = delete;
-
-private:
-    rlimit before_{};
-};
-
 /// Counts the lines that libevent logs.
 class LibeventLines
 {
