Tests: Fit the test of the links' share to the division of descriptors

Links got 3/10 instead of 2/10 of the descriptors, so that a limit of 16 gave them three instead of the two that the test expects; with 12 they are two again. Its ports lie outside those that the tests with processes draw from.

--- a/Tests/LibLink/TestLinkDescriptors.cpp
+++ b/Tests/LibLink/TestLinkDescriptors.cpp
@@ -18,10 +18,10 @@
 
 namespace {
 
-const Endpoint links{"127.0.0.1", 29'483};
-const Endpoint peer{"127.0.0.1", 29'484};
+const Endpoint links{"127.0.0.1", 19'485};
+const Endpoint peer{"127.0.0.1", 19'486};
 /// Leaves links a share of two descriptors.
-constexpr std::size_t descriptors = 16;
+constexpr std::size_t descriptors = 12;
 constexpr std::size_t share = 2;
 constexpr Milliseconds observed{500};
 constexpr Milliseconds timeLimit{1'000};
