LibHttp: Close callers' connections after the operator's idle timeout

The server closes connections that have been idle for longer, by the same rule as when descriptors get short: none with a request unanswered, in its buffer or on its socket, and none in a stop. Idle time is counted in checks, with two more than the timeout needs, so that no connection is closed sooner however late the checks come; callers reuse connections shortly before the timeout. A changed timeout counts from the next check on.

TestLibHttp passes, also with the address and undefined behaviour sanitizers, and TestDescriptors (27.0 s). That EntryTask hands on the timeout has no test of its own.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t maximumHeaderBytes = 64 * 1024;
 /// The records of closed connections are let go this often. Their sockets stay open until then.
 constexpr Milliseconds checkInterval{100};
+/// The first check of an idle time comes before a whole interval has passed, and the next one may
+/// come early when the one before it was late.
+constexpr Milliseconds idleMargin = 2 * checkInterval;
 
 std::string methodName(evhttp_cmd_type type)
 {
@@ -259,9 +262,27 @@
 void HttpServer::check()
 {
     hasAcceptFailed_ = false;
+    releaseClosed();
+    closeTimedOut();
     makeRoom();
 }
 
+void HttpServer::closeTimedOut()
+{
+    const bool closesIdle = idleTimeout_ > Milliseconds(0) && !*closesAfter_;
+    std::vector<bufferevent *> timedOut;
+    for (const auto &[handle, connection] : connections_) {
+        if (!connection->isIdle())
+            continue;
+        connection->idleFor += checkInterval;
+        const bool isTimedOut = closesIdle && connection->idleFor >= idleTimeout_ + idleMargin;
+        if (isTimedOut && !connection->hasUnreadBytes())
+            timedOut.push_back(handle);
+    }
+    for (bufferevent *handle : timedOut)
+        closeIdle(handle);
+}
+
 void HttpServer::releaseClosed()
 {
     std::erase_if(connections_, [](const auto &entry) { return entry.second->isClosed(); });
@@ -359,6 +380,7 @@
 {
     if (Connection *connection = connectionOf(request)) {
         connection->isUnanswered = false;
+        connection->idleFor = Milliseconds(0);
         connection->idleOrder = ++lastIdleOrder_;
     }
 }
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -85,6 +85,9 @@
     /// server.
     void countIn(DescriptorShare &share) { share_ = &share; }
 
+    /// Closes connections that have been idle for longer, but never sooner. 0: none.
+    void setIdleTimeout(Milliseconds timeout) { idleTimeout_ = timeout; }
+
     /// Requests of which some bytes have come and others have not. The handler has not seen them.
     [[nodiscard]] std::size_t receiving();
 
@@ -121,6 +124,7 @@
         evbuffer_cb_entry *watch = nullptr;
         bool isReceiving = false;
         bool isUnanswered = false;
+        Milliseconds idleFor{0};     ///< As counted in checks since the last response.
         std::uint64_t idleOrder = 0; ///< Lower for a connection that has been idle for longer.
         HttpExchange::ConnectionUse use = HttpExchange::ConnectionUse::First;
     };
@@ -132,6 +136,7 @@
     void resumeAccepting();
     void check();
     void releaseClosed();
+    void closeTimedOut();
     void makeRoom();
     void makeRoomSoon();
     void closeIdle(bufferevent *handle);
@@ -146,6 +151,7 @@
     EventLoop &loop_;
     DescriptorShare *share_ = nullptr;
     std::map<bufferevent *, std::unique_ptr<Connection>> connections_;
+    Milliseconds idleTimeout_{0};
     std::uint64_t lastIdleOrder_ = 0;
     bool isPaused_ = false;        ///< New connections wait in the backlog.
     bool hasAcceptFailed_ = false; ///< Since the last check.
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -30,8 +30,11 @@
         , dialect_(dialectOf(kernel.settings()))
         , catalogue_(std::make_shared<const Catalogue>())
     {
-        kernel.bus().subscribe<CatalogueChanged>(
-                [this](const CatalogueChanged &changed) { catalogue_ = changed.catalogue; });
+        kernel.bus().subscribe<CatalogueChanged>([this](const CatalogueChanged &changed) {
+            catalogue_ = changed.catalogue;
+            if (server_)
+                server_->setIdleTimeout(catalogue_->idleTimeout);
+        });
         kernel.bus().subscribe<PressureChanged>(
                 [this](const PressureChanged &changed) { meshPressure_ = changed.mesh; });
         kernel.bus().subscribe<RunStarted>([this](const RunStarted &started) {
@@ -60,6 +63,7 @@
             LOG(FATAL) << "task=entry error=\"" << server.error().message << '"';
         server_ = std::move(server.value());
         server_->countIn(kernel_.descriptors().callers);
+        server_->setIdleTimeout(catalogue_->idleTimeout);
     }
 
 private:
--- a/Tests/LibHttp/TestServerConnections.cpp
+++ b/Tests/LibHttp/TestServerConnections.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <chrono>
 #include <filesystem>
 #include <iterator>
 #include <memory>
@@ -437,6 +438,93 @@
     CHECK(served.runUntil([&] { return !peers.front()->isOpen(); }));
 }
 
+TEST_CASE("A connection is closed once it was idle for longer than the idle timeout")
+{
+    using std::chrono::steady_clock;
+    constexpr Milliseconds timeout{500};
+    constexpr Milliseconds longer{1'000};
+    Served served(16);
+    Peers peers;
+
+    SUBCASE("never without one")
+    {
+        served.connect(peers, 2);
+        served.runFor(longer);
+        CHECK(countOpen(peers) == 2);
+    }
+
+    SUBCASE("never sooner, counted from its last response")
+    {
+        served.server->setIdleTimeout(timeout);
+        for (std::size_t round = 0; round < 3; ++round) {
+            Peers one;
+            REQUIRE(served.isAnswered(one));
+            served.runFor(timeout * 4 / 5);
+            one.front()->write(request);
+            REQUIRE(served.runUntil([&] { return one.front()->responses() == 2; }));
+            const auto idleSince = steady_clock::now();
+            CHECK(served.runUntil([&] { return !one.front()->isOpen(); }));
+            CHECK(steady_clock::now() - idleSince >= timeout);
+        }
+        CHECK(served.share.reclaimed() == 0);
+    }
+
+    SUBCASE("also when nothing ever came on it")
+    {
+        served.server->setIdleTimeout(timeout);
+        served.connect(peers, 2);
+        CHECK(served.runUntil([&] { return countOpen(peers) == 0; }));
+        CHECK(served.runUntil([&] { return served.share.used() == 0; }));
+    }
+
+    SUBCASE("but not sooner than a timeout that was raised meanwhile")
+    {
+        served.server->setIdleTimeout(timeout);
+        served.connect(peers, 2);
+        served.runFor(timeout / 2);
+        served.server->setIdleTimeout(10 * timeout);
+        served.runFor(longer);
+        CHECK(countOpen(peers) == 2);
+    }
+
+    SUBCASE("but not while it owes an answer")
+    {
+        served.server->setIdleTimeout(timeout);
+        served.answersAtOnce = false;
+        peers.push_back(std::make_unique<Peer>());
+        peers.front()->write(request);
+        REQUIRE(served.runUntil([&] { return served.pending.size() == 1; }));
+        served.runFor(longer);
+        served.pending.front()->respond({200, {}, makeBody("done")});
+        CHECK(served.runUntil([&] { return peers.front()->responses() == 1; }));
+        served.runFor(timeout / 2);
+        CHECK(peers.front()->isOpen());
+    }
+
+    SUBCASE("but not with a request that waits unread on the socket")
+    {
+        served.connect(peers, 2);
+        served.runFor(longer);
+        served.runBeforeCheck([&] {
+            served.server->setIdleTimeout(timeout);
+            for (const auto &peer : peers)
+                peer->write(request);
+        });
+        CHECK(served.requests == 2);
+        CHECK(countResponses(peers) == 2);
+    }
+
+    SUBCASE("but not within a stop")
+    {
+        served.server->setIdleTimeout(timeout);
+        served.connect(peers, 1);
+        served.server->closeAfterResponses();
+        served.runFor(longer);
+        peers.front()->write(request);
+        CHECK(served.runUntil([&] { return peers.front()->responses() == 1; }));
+    }
+}
+
 TEST_CASE("A server accepts no more connections than its share while all of them are busy")
 {
     constexpr std::size_t most = 16;
