LibHttp: Make room for new callers in a stop as well

In a planned stop, callers that keep idle connections open could hold the whole share of a stopping node until its end, since no idle connection was closed once the stop had begun; new callers, to whom the listener stays open, waited without an answer. Their requests lose nothing if idle connections give way under the same rule as before the stop.

The test of a connection that waits within a stop expected it to stay open with a full share; it now says that it stays while descriptors suffice and gives way when they get short.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -305,7 +305,7 @@
 void HttpServer::makeRoom()
 {
     releaseClosed();
-    if (share_ == nullptr || !share_->isShort() || *closesAfter_)
+    if (share_ == nullptr || !share_->isShort())
         return;
     std::vector<const Connection *> longestIdle;
     for (const auto &[handle, connection] : connections_) {
--- a/Tests/LibHttp/TestServerConnections.cpp
+++ b/Tests/LibHttp/TestServerConnections.cpp
@@ -430,12 +430,22 @@
     Peers peers;
     REQUIRE(served.isAnswered(peers));
     served.server->closeAfterResponses();
-    const std::vector<DescriptorLease> others = takeRest(served.share);
     served.runFor(3 * moreThanOneCheck);
     REQUIRE(peers.front()->isOpen());
-    peers.front()->write(request);
-    CHECK(served.runUntil([&] { return peers.front()->responses() == 2; }));
-    CHECK(served.runUntil([&] { return !peers.front()->isOpen(); }));
+
+    SUBCASE("while descriptors suffice")
+    {
+        peers.front()->write(request);
+        CHECK(served.runUntil([&] { return peers.front()->responses() == 2; }));
+        CHECK(served.runUntil([&] { return !peers.front()->isOpen(); }));
+    }
+
+    SUBCASE("but gives way to new ones as they get short")
+    {
+        const std::vector<DescriptorLease> others = takeRest(served.share);
+        CHECK(served.runUntil([&] { return !peers.front()->isOpen(); }));
+        CHECK(served.share.reclaimed() == 1);
+    }
 }
 
 TEST_CASE("A connection is closed once it was idle for longer than the idle timeout")
