Node: Refuse callers whose requests a node cannot hold

With all connections of callers busy, a node pauses its listener, and further callers wait without a word until one of them ends; calls of the node's own target, which come to the same listener on some deployments, wait too, although the busy requests may depend on them.

Open requests of callers now take at most 7/8 of the callers' descriptors. Beyond that a request is refused as not run, with a Retry-After of a second; nested calls are taken.

--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -20,6 +20,9 @@
 
 namespace {
 
+/// The part of the callers' descriptors that open requests of callers do not take.
+constexpr std::size_t reservedConnectionsDivisor = 8;
+
 /// Accepts the requests of callers and responds with complete answers or verdicts.
 class EntryTask final : public Task
 {
@@ -97,6 +100,12 @@
             refuse(*exchange, memoryLimitVerdict(), request);
             return;
         }
+        if (!call.value().isNested && openRequests_.size() >= mostOpenRequests()) {
+            const Verdict verdict = connectionLimitVerdict();
+            noteDecision(call.value(), verdict, std::chrono::nanoseconds(0), *exchange);
+            refuse(*exchange, verdict, request);
+            return;
+        }
         if (const auto refusal = reasonToShed(call.value())) {
             noteDecision(call.value(), *refusal, std::chrono::nanoseconds(0), *exchange);
             refuse(*exchange, *refusal, request);
@@ -180,6 +189,22 @@
         logDecision(kernel_.decisions(), call, result, inputs);
     }
 
+    /// The rest of the descriptors for callers is left to callers that are refused, and to nested
+    /// calls, on which open requests wait.
+    [[nodiscard]] std::size_t mostOpenRequests()
+    {
+        const std::size_t most = kernel_.descriptors().callers.most();
+        return most - most / reservedConnectionsDivisor;
+    }
+
+    static Verdict connectionLimitVerdict()
+    {
+        Verdict verdict
+                = notRun(Reason::Overloaded, "the limit for requests in progress is reached");
+        verdict.retryAfter = Milliseconds(1000);
+        return verdict;
+    }
+
     static Verdict memoryLimitVerdict()
     {
         Verdict verdict
--- a/Tests/Integration/TestDescriptors.cpp
+++ b/Tests/Integration/TestDescriptors.cpp
@@ -17,15 +17,16 @@
 
 constexpr std::size_t descriptors = 256;
 constexpr std::size_t moreCallers = 400;
+constexpr std::size_t lateCallers = 10;
 /// Far less than the deadline of the requests.
 constexpr Milliseconds answerLimit{2'000};
 /// Nothing is in flight, so the notice that callers get decides.
 constexpr Milliseconds stopLimit{5'000};
 
-HttpRequest read()
+HttpRequest read(const std::string &serviceTime = "1")
 {
     return {"GET",
-            "/photos/read/first?service_ms=1",
+            "/photos/read/first?service_ms=" + serviceTime,
             {{"Chive-Request-Id", randomIdentifier()}},
             nullptr};
 }
@@ -99,3 +100,41 @@
         CHECK(member.node.waitForEnd(stopLimit) == 0);
     }
 }
+
+TEST_CASE("Callers beyond the requests that a node can hold are refused, not left waiting")
+{
+    Mesh mesh;
+    mesh.startLog();
+    mesh.publish("first", "", releaseNote("first", {"photos"}));
+    MemberSpec photos;
+    photos.name = "photos-0";
+    photos.service = "photos";
+    photos.slots = 400;
+    mesh.add(photos);
+    MemberSpec spec;
+    spec.name = "entry";
+    spec.hasTarget = false;
+    spec.maximumDescriptors = descriptors;
+    RunningMember &entry = mesh.add(spec);
+    REQUIRE(mesh.waitUntilAnswered(entry, "/photos/read/ready"));
+    Caller &caller = mesh.caller();
+
+    KeptConnections waiting(caller.loop(), entry.callers);
+    for (std::size_t i = 0; i < descriptors; ++i) {
+        if (waiting.open(1) == 0)
+            break;
+        waiting.send(read("4000"), [](const KeptResult &) {});
+        caller.wait(Milliseconds(1));
+    }
+    std::size_t ended = 0;
+    KeptConnections late(caller.loop(), entry.callers);
+    for (std::size_t i = 0; i < lateCallers; ++i) {
+        if (late.open(1) == 0)
+            break;
+        late.send(read("1"), [&](const KeptResult &result) {
+            ended += result.call.isAnswer() || result.call.execution() == Execution::NotRun ? 1 : 0;
+        });
+    }
+    caller.waitUntil([&] { return ended == lateCallers; }, answerLimit);
+    CHECK(ended == lateCallers);
+}
