--- a/Tests/Node/TestCrashDetector.cpp
+++ b/Tests/Node/TestCrashDetector.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-const Endpoint target{"127.0.0.1", 29'485};
+const Endpoint target{"127.0.0.1", 19'487};
 constexpr std::size_t bodyLimit = 1024;
 constexpr std::size_t descriptors = 64;
 /// Longer than a probe takes.
