LibHttp: Count a request whose head came with the one before it as being received

A caller that sends a request and the head of the next one in one segment could have its connection closed as idle after the first response, and a planned stop did not wait for the second request. evhttp takes the rest out of the buffer without new bytes coming, so that nothing marked the connection as receiving.

What is left in the buffer when a request is handled now marks the next one. The test failed before: one connection reclaimed (CHECK( 1 == 0 )), none receiving, the second request never handled.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -365,7 +365,9 @@
 {
     auto use = HttpExchange::ConnectionUse::First;
     if (Connection *connection = connectionOf(request)) {
-        connection->isReceiving = false;
+        // Bytes of the next request may have come with this one.
+        connection->isReceiving
+                = evbuffer_get_length(bufferevent_get_input(connection->handle)) > 0;
         connection->isUnanswered = true;
         use = std::exchange(connection->use, HttpExchange::ConnectionUse::Reused);
     }
--- a/Tests/LibHttp/TestServerConnections.cpp
+++ b/Tests/LibHttp/TestServerConnections.cpp
@@ -400,6 +400,21 @@
         CHECK(peers.front()->isOpen());
         CHECK(served.share.reclaimed() == 0);
     }
+
+    SUBCASE("whose head was read along with the one before it")
+    {
+        served.answersAtOnce = false;
+        served.connect(peers, 1);
+        peers.front()->write(std::string(request) + "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\n");
+        REQUIRE(served.runUntil([&] { return served.pending.size() == 1; }));
+        others = takeRest(served.share);
+        served.pending.front()->respond({200, {}, makeBody("done")});
+        served.runFor(3 * moreThanOneCheck);
+        CHECK(served.share.reclaimed() == 0);
+        CHECK(served.server->receiving() == 1);
+        peers.front()->write("body");
+        CHECK(served.runUntil([&] { return served.pending.size() == 2; }));
+    }
 }
 
 TEST_CASE("A request that crosses the close of its connection is not read")
