--- a/Services/Node/DescriptorsTask.cpp
+++ b/Services/Node/DescriptorsTask.cpp
@@ -17,11 +17,8 @@
 namespace {
 
 constexpr Milliseconds reportInterval{500};
-/// A use is short of descriptors from `shortParts` of `shareParts` of its share on, until it holds
-/// less than `enoughParts`.
-constexpr std::size_t shareParts = 8;
-constexpr std::size_t shortParts = 7;
-constexpr std::size_t enoughParts = 5;
+/// A use that was short has enough again after so many reports without want.
+constexpr std::size_t reportsUntilEnough = 10;
 
 /// Reports how many descriptors each use holds, and logs when one runs short.
 class DescriptorsTask final : public Task
@@ -63,6 +60,8 @@
         prometheus::Counter *reclaimed = nullptr;
         prometheus::Counter *refused = nullptr;
         bool isShort = false;
+        std::uint64_t wantBefore = 0;
+        std::size_t reportsWithoutWant = 0;
     };
 
     prometheus::Family<prometheus::Gauge> &gauges(const std::string &name, const std::string &help)
@@ -92,12 +91,16 @@
         counter.Increment(static_cast<double>(total) - counter.Value());
     }
 
+    /// A use is short while it is near its limit, idle connections are closed for it, or
+    /// connections are refused.
     static void logStateChange(Use &use)
     {
         const DescriptorShare &share = *use.share;
-        const std::size_t threshold
-                = share.most() / shareParts * (use.isShort ? enoughParts : shortParts);
-        const bool isShort = share.used() >= threshold;
+        const std::uint64_t want = share.reclaimed() + share.refused();
+        const bool isWanting = std::exchange(use.wantBefore, want) != want || share.isShort();
+        use.reportsWithoutWant = isWanting ? 0 : use.reportsWithoutWant + 1;
+        const bool isShort
+                = isWanting || (use.isShort && use.reportsWithoutWant < reportsUntilEnough);
         if (std::exchange(use.isShort, isShort) == isShort)
             return;
         LOG(INFO) << "task=descriptors event=" << (isShort ? "short" : "enough")
