--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -97,8 +97,8 @@
     /// Accepts no more connections; those that are open go on.
     void stopAccepting();
 
-    /// From now on, closes each connection after the response that it gets next, and none that is
-    /// idle.
+    /// From now on, closes each connection after the response that it gets next. The idle timeout
+    /// no longer counts; idle connections still give way as the share gets short.
     void closeAfterResponses();
 
 private:
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-/// The part of the callers' descriptors that open requests of callers do not take.
+/// One in so many of the callers' descriptors is not taken by open requests.
 constexpr std::size_t reservedConnectionsDivisor = 8;
 
 /// Accepts the requests of callers and responds with complete answers or verdicts.
