Tests: Let only the test of descriptors give up connecting after a second

KeptConnections had got a limit of one second for opening a connection, in, for all tests; a connection that finds the queue of new connections full (128) is tried again by the kernel after just that second, so that a burst ended at the first full queue. Before there was no limit, and now there is none again but for TestDescriptors, whose callers open one connection at a time. The bounds are as they were.

--- a/Tests/Harness/KeptConnections.cpp
+++ b/Tests/Harness/KeptConnections.cpp
@@ -21,8 +21,6 @@
 constexpr std::size_t maximumBodySize = 64 * 1024 * 1024;
 /// A request that crossed the server's close is answered by a reset within this time.
 constexpr Milliseconds resetLimit{50};
-/// A server that accepts no more lets connections wait.
-constexpr timeval connectLimit{1, 0};
 
 std::string wireFormat(const HttpRequest &request)
 {
@@ -168,7 +166,10 @@
         const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         if (receiveBuffer_ > 0)
             setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer_, sizeof receiveBuffer_);
-        setsockopt(socket, SOL_SOCKET, SO_SNDTIMEO, &connectLimit, sizeof connectLimit);
+        if (connectLimit_ > Milliseconds(0)) {
+            const timeval limit{connectLimit_.count() / 1000, 0};
+            setsockopt(socket, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+        }
         if (connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0) {
             close(socket);
             return i;
--- a/Tests/Harness/KeptConnections.h
+++ b/Tests/Harness/KeptConnections.h
@@ -36,6 +36,10 @@
     /// later.
     void setReceiveBuffer(int bytes) { receiveBuffer_ = bytes; }
 
+    /// Gives up opening a connection after this time, in whole seconds. Without it, connections
+    /// also wait for a server whose queue of new connections is full for a moment.
+    void limitConnecting(Milliseconds limit) { connectLimit_ = limit; }
+
     /// Opens up to this many connections, fewer when the server accepts none; how many.
     std::size_t open(std::size_t count);
 
@@ -57,6 +61,7 @@
     EventLoop &loop_;
     Endpoint server_;
     int receiveBuffer_ = 0;
+    Milliseconds connectLimit_{0};
     std::vector<std::unique_ptr<Connection>> connections_;
     std::vector<std::unique_ptr<Connection>> released_; ///< Freed outside their own callbacks.
     std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
--- a/Tests/Integration/TestDescriptors.cpp
+++ b/Tests/Integration/TestDescriptors.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t lateCallers = 10;
 /// Far less than the deadline of the requests.
 constexpr Milliseconds answerLimit{2'000};
+/// Callers give up a server that accepts no more.
+constexpr Milliseconds connectLimit{1'000};
 /// Nothing is in flight, so the notice that callers get decides.
 constexpr Milliseconds stopLimit{5'000};
 
@@ -61,6 +63,7 @@
     const auto sendFromNewCaller = [&] {
         KeptConnections &connection = *callers.emplace_back(
                 std::make_unique<KeptConnections>(caller.loop(), member.callers));
+        connection.limitConnecting(connectLimit);
         if (connection.open(1) == 0)
             return;
         connection.send(read(), [&](const KeptResult &result) {
@@ -120,6 +123,7 @@
     Caller &caller = mesh.caller();
 
     KeptConnections waiting(caller.loop(), entry.callers);
+    waiting.limitConnecting(connectLimit);
     for (std::size_t i = 0; i < descriptors; ++i) {
         if (waiting.open(1) == 0)
             break;
@@ -128,6 +132,7 @@
     }
     std::size_t ended = 0;
     KeptConnections late(caller.loop(), entry.callers);
+    late.limitConnecting(connectLimit);
     for (std::size_t i = 0; i < lateCallers; ++i) {
         if (late.open(1) == 0)
             break;
