LibHttp: Serve pipelined requests at the same time

Cause: evhttp serves the requests of a connection one after another and does not read while a response is owed.

Ruled out: placing and queues below; the wait is before the first attempt.

Requests with safe methods are served at the same time, up to 16 a connection at the entry (RFC 9112, 9.3.2); another one waits until those before it are answered. Responses keep the order of the requests. The operator's headerTimeoutS is applied (408), and a caller that reads nothing for the idle timeout is closed.

--- a/Libraries/LibCatalogue/Catalogue.h
+++ b/Libraries/LibCatalogue/Catalogue.h
@@ -103,6 +103,7 @@
     std::map<std::string, Service, std::less<>> services;
     RouteTable routes; ///< For requests identified by host and path instead of by service.
     Milliseconds idleTimeout{0}; ///< Idle timeout of callers' connections; 0: none.
+    Milliseconds headTimeout{0}; ///< Within which the head of a caller's request comes; 0: none.
 
     bool operator==(const Catalogue &) const = default;
 };
--- a/Libraries/LibHttp/HttpMessage.h
+++ b/Libraries/LibHttp/HttpMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <span>
 #include <string>
@@ -12,6 +13,11 @@
 /// A header's name and value.
 using Header = std::pair<std::string, std::string>;
 
+enum class HttpVersion : std::uint8_t {
+    Http10,
+    Http11,
+};
+
 struct HttpRequest
 {
     std::string method = "GET";
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -22,6 +22,8 @@
 
 /// One in so many of the callers' descriptors is not taken by open requests.
 constexpr std::size_t reservedConnectionsDivisor = 8;
+/// Requests that one connection of a caller may have in progress.
+constexpr std::size_t maximumPipelined = 16;
 
 /// Accepts the requests of callers and responds with complete answers or verdicts.
 class EntryTask final : public Task
@@ -35,8 +37,7 @@
     {
         kernel.bus().subscribe<CatalogueChanged>([this](const CatalogueChanged &changed) {
             catalogue_ = changed.catalogue;
-            if (server_)
-                server_->setIdleTimeout(catalogue_->idleTimeout);
+            applyTimeouts();
         });
         kernel.bus().subscribe<PressureChanged>(
                 [this](const PressureChanged &changed) { meshPressure_ = changed.mesh; });
@@ -66,7 +67,8 @@
             LOG(FATAL) << "task=entry error=\"" << server.error().message << '"';
         server_ = std::move(server.value());
         server_->countIn(kernel_.descriptors().callers);
-        server_->setIdleTimeout(catalogue_->idleTimeout);
+        server_->setMaximumPipelined(maximumPipelined);
+        applyTimeouts();
     }
 
 private:
@@ -78,6 +80,14 @@
         std::size_t bytesHeld = 0;
     };
 
+    void applyTimeouts()
+    {
+        if (server_ == nullptr)
+            return;
+        server_->setIdleTimeout(catalogue_->idleTimeout);
+        server_->setHeadTimeout(catalogue_->headTimeout);
+    }
+
     void handleRequest(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange)
     {
         const TimePoint now = kernel_.clock().now();
