Router: Offer calls again to targets that turned them away

Cause: a call that every target of its service had turned away once was given up, and its tree broke off with all the work above it. With three targets that turn 55 of 100 calls away, a tree of five calls ends well 40 times in 100 even without a limit of retries. The retry budget added its tokens with the calls of the moment only, which become few as trees break off early, while the bound allows for the requests of the windows before.

Ruled out, in a model (trial, not landed): limiting callers' requests to the rate at which trees are completed.

Change: a call that targets turned away without running it is offered to them again, up to eight times, at no cost to its allowance, as it reaches no further target, from the shared budget. Tokens are added with a request, half a window and a window after it; each sum over nodes stays within the bound (TestSharedRetryBound, now also with nodes that save tokens up).

--- a/Libraries/LibPolicy/Retry.cpp
+++ b/Libraries/LibPolicy/Retry.cpp
@@ -9,10 +9,15 @@
 
 /// Share of the constant number of retries that the nodes together use; the rest is a margin.
 constexpr double constantUsedShare = 0.5;
-/// Shares of the ratio: tokens added with each request, and additional capacity. The rest is a
-/// margin for retries that no node counts.
-constexpr double ratioRefillShare = 0.65;
+/// Shares of the ratio: tokens added with each request, half a window and a window after it, and
+/// additional capacity. The bound allows retries in proportion to the requests of the same window,
+/// of the one half a window before it, or of the one before it. So it holds for any weighted mean
+/// of these, for each node and for their sum. The rest is a margin for retries that no node counts.
+constexpr double ratioRefillShare = 0.45;
+constexpr std::array<double, 2> ratioLaterShares{0.2, 0.1};
 constexpr double ratioCapacityShare = 0.1;
+/// Requests are counted in so many spans of a window.
+constexpr int spansOfWindow = 40;
 /// With fewer known members, the membership view is probably incomplete.
 constexpr std::size_t minimumNodes = 10;
 constexpr int serviceUnavailable = 503; ///< RFC 9110, section 15.6.4.
@@ -35,8 +40,35 @@
     budget.tokens = std::min(tokenCapacity(limits, budget.recentAttempts), budget.tokens + tokens);
 }
 
+void addLaterTokens(RetryBudget &budget, TimePoint now)
+{
+    const RetryBudgetLimits &limits = budget.limits;
+    for (std::size_t i = 0; i < budget.later.size(); ++i) {
+        const auto delay = limits.window * static_cast<int>(i + 1) / 2;
+        auto &spans = budget.later[i];
+        while (!spans.empty() && now - spans.front().start >= delay) {
+            addTokens(budget, limits.perFirstAttemptLater[i] * spans.front().attempts);
+            spans.pop_front();
+        }
+    }
+}
+
+void noteForLater(RetryBudget &budget, TimePoint now)
+{
+    const auto length = budget.limits.window / spansOfWindow;
+    for (std::size_t i = 0; i < budget.later.size(); ++i) {
+        if (budget.limits.perFirstAttemptLater[i] <= 0.0)
+            continue;
+        auto &spans = budget.later[i];
+        if (spans.empty() || now - spans.back().start >= length)
+            spans.push_back({now, 0.0});
+        spans.back().attempts += 1.0;
+    }
+}
+
 void refill(RetryBudget &budget, TimePoint now)
 {
+    addLaterTokens(budget, now);
     if (budget.lastRefill != TimePoint{}) {
         const std::chrono::duration<double> passed = now - budget.lastRefill;
         const std::chrono::duration<double> window = budget.limits.window;
@@ -111,6 +143,7 @@
 {
     refill(budget, now);
     budget.recentAttempts += 1.0;
+    noteForLater(budget, now);
     addTokens(budget, budget.limits.perFirstAttempt);
 }
 
@@ -121,6 +154,8 @@
     const std::chrono::duration<double> seconds = window;
     RetryBudgetLimits limits;
     limits.perFirstAttempt = ratioRefillShare * ratio;
+    for (std::size_t i = 0; i < ratioLaterShares.size(); ++i)
+        limits.perFirstAttemptLater[i] = ratioLaterShares[i] * ratio;
     // The constant can be spent twice in a window: as saved tokens and as the refill.
     limits.capacity = constantUsedShare * constant / sharers / 2.0;
     limits.perSecond = limits.capacity / seconds.count();
@@ -142,6 +177,13 @@
     budget.tokens -= tokens;
 }
 
+bool isTurnedAwayByTarget(const Judged<Answer> &result)
+{
+    return !result.has_value() && result.error().hasReachedTarget
+           && result.error().execution == Execution::NotRun
+           && result.error().reason == Reason::Overloaded;
+}
+
 bool hasReachedTarget(const Judged<Answer> &result)
 {
     return result.has_value() || result.error().execution != Execution::NotRun
@@ -158,9 +200,12 @@
         return false;
     if (!hasReachedTarget(*end.result) && !budget.limits.chargesUnreachedAttempts)
         return true;
-    if (allowance.retries == 0 || budget.tokens < 1.0 + tokensLeftToOthers(call, budget))
+    if (!end.isRepeatedOffer && allowance.retries == 0)
+        return false;
+    if (budget.tokens < 1.0 + tokensLeftToOthers(call, budget))
         return false;
-    --allowance.retries;
+    if (!end.isRepeatedOffer)
+        --allowance.retries;
     budget.tokens -= 1.0;
     return true;
 }
--- a/Libraries/LibPolicy/Retry.h
+++ b/Libraries/LibPolicy/Retry.h
@@ -3,6 +3,8 @@
 #include <LibCore/Clock.h>
 #include <LibNode/Call.h>
 
+#include <array>
+#include <deque>
 #include <optional>
 
 /// Bounds the retries and nested calls of the whole call tree of a request, and the retries towards
@@ -22,6 +24,9 @@
 struct RetryBudgetLimits
 {
     double perFirstAttempt = 0.1;
+    /// Tokens that a first attempt adds later: half a window after it, and a window after it. While
+    /// a fault lasts, call trees break off early and make few first attempts.
+    std::array<double, 2> perFirstAttemptLater{0.0, 0.0};
     double perSecond = 0.5; ///< Allows retries to a service with little traffic.
     double capacity = 10.0; ///< Maximum number of saved tokens.
     /// Added to `capacity` for each first attempt in the last window.
@@ -44,7 +49,16 @@
 struct RetryBudget
 {
     RetryBudgetLimits limits;
+    /// First attempts of a short span, whose later tokens are not all added yet.
+    struct Span
+    {
+        TimePoint start;
+        double attempts = 0.0;
+    };
+
     double tokens = 3.0;
+    /// Oldest first: those that will be added to next for half a window, and for a window.
+    std::array<std::deque<Span>, 2> later;
     double recentAttempts = 0.0; ///< Decaying count of the first attempts in about the last window.
     TimePoint lastRefill;
 };
@@ -59,11 +73,17 @@
 struct AttemptOutcome
 {
     const Judged<Answer> *result = nullptr;
-    bool failedBelow = false;        ///< The attempt failed because a nested call failed.
-    bool hasOtherTarget = false;     ///< Another target is available for a retry.
+    bool failedBelow = false;    ///< The attempt failed because a nested call failed.
+    bool hasOtherTarget = false; ///< Another target is available for a retry.
+    /// The next target has turned this call away before. Offering the call there again reaches no
+    /// further target, so it costs no retry of the allowance.
+    bool isRepeatedOffer = false;
     Microseconds expectedLatency{0}; ///< Expected latency of the next attempt.
 };
 
+/// Whether a target turned the call away without running it, for lack of slots or of time.
+[[nodiscard]] bool isTurnedAwayByTarget(const Judged<Answer> &result);
+
 /// Whether the attempt reached a target or may have reached one.
 [[nodiscard]] bool hasReachedTarget(const Judged<Answer> &result);
 
--- a/Services/Node/RouterTask.cpp
+++ b/Services/Node/RouterTask.cpp
@@ -26,6 +26,8 @@
 constexpr Milliseconds verdictGrace{50};
 
 constexpr Milliseconds shedRetryAfter{500};
+/// Before a call is offered again to targets that turned it away.
+constexpr Milliseconds repeatedOfferDelay{15};
 
 Verdict shedVerdict()
 {
@@ -101,8 +103,9 @@
         Allowance remainingAllowance;
         Token attemptToken = 0;  ///< The attempt in progress; 0 if none.
         bool mayHaveRun = false; ///< An earlier attempt may have run.
-        std::set<std::string> triedNodes;
+        TargetChooser::Attempts attempts;
         Timer deadlineTimer;
+        Timer offerTimer; ///< While the call waits to be offered again.
     };
 
     /// One attempt to run a call on one target.
@@ -141,12 +144,13 @@
     {
         RoutedCall &routed = routedCalls_.at(token);
         const Member *member
-                = chooser_.choose(*routed.call, routed.triedNodes, kernel_.clock().now());
+                = chooser_.choose(*routed.call, routed.attempts, kernel_.clock().now());
         if (member == nullptr) {
             finish(token, otherwise);
             return;
         }
-        routed.triedNodes.insert(member->nodeId);
+        ++routed.attempts.count;
+        routed.attempts.excluded.insert(member->nodeId);
         routed.attemptToken = nextToken();
         Attempt attempt;
         attempt.callToken = token;
@@ -160,7 +164,7 @@
         chooser_.noteSent(*routed.call, attempt.nodeId, attempt.sentAt);
         attemptsTotal_
                 .Add({{"service", routed.call->service},
-                      {"order", routed.triedNodes.size() == 1 ? "first" : "retry"}})
+                      {"order", routed.attempts.count == 1 ? "first" : "retry"}})
                 .Increment();
         send(routed, attempt);
         attempts_.emplace(routed.attemptToken, std::move(attempt));
@@ -224,6 +228,8 @@
                 *routed.call,
                 {attempt.nodeId, attempt.sentAt, &outcome, report == LoadReport::Present},
                 kernel_.clock().now());
+        if (isTurnedAwayByTarget(outcome.result))
+            routed.attempts.rejecting.insert(attempt.nodeId);
         retryOrFinish(attempt.callToken, outcome);
     }
 
@@ -233,14 +239,29 @@
         const Call &call = *routed.call;
         if (!outcome.result.has_value() && outcome.result.error().execution != Execution::NotRun)
             routed.mayHaveRun = true;
-        const bool shouldRetry = chooser_.takeRetry(
-                call, outcome, routed.triedNodes, routed.remainingAllowance, kernel_.clock().now());
-        if (!shouldRetry) {
+        const Verdict otherwise
+                = outcome.result.has_value() ? notRun(Reason::NoTarget) : outcome.result.error();
+        switch (chooser_.takeRetry(call, outcome, routed.attempts, routed.remainingAllowance,
+                                   kernel_.clock().now())) {
+        case TargetChooser::RetryPlan::None:
             finish(token, outcome.result, outcome.failedBelow);
             return;
+        case TargetChooser::RetryPlan::OtherTarget:
+            tryNext(token, otherwise);
+            return;
+        case TargetChooser::RetryPlan::OfferAgain:
+            offerAgain(token, otherwise);
+            return;
         }
-        tryNext(token,
-                outcome.result.has_value() ? notRun(Reason::NoTarget) : outcome.result.error());
+    }
+
+    void offerAgain(Token token, const Verdict &otherwise)
+    {
+        RoutedCall &routed = routedCalls_.at(token);
+        for (const std::string &nodeId : std::exchange(routed.attempts.rejecting, {}))
+            routed.attempts.excluded.erase(nodeId);
+        routed.offerTimer = kernel_.loop().after(
+                repeatedOfferDelay, [this, token, otherwise] { tryNext(token, otherwise); });
     }
 
     void handlePeerLost(const PeerLost &lost)
@@ -296,7 +317,7 @@
         const auto found = routedCalls_.find(token);
         const RoutedCall routed = std::move(found->second);
         routedCalls_.erase(found);
-        if (!result.has_value() && routed.triedNodes.size() > 1)
+        if (!result.has_value() && routed.attempts.count > 1)
             result.error().retriedBelow = true;
         if (!result.has_value() && routed.mayHaveRun
             && result.error().execution == Execution::NotRun)
--- a/Services/Node/TargetChooser.cpp
+++ b/Services/Node/TargetChooser.cpp
@@ -10,6 +10,9 @@
 
 /// Attempts for one call. A target that refuses the call costs little but time.
 constexpr std::size_t maximumAttempts = 4;
+/// Attempts for one call that targets turn away without running it. Giving it up would waste what
+/// has run above it in its tree.
+constexpr std::size_t maximumOffers = 8;
 /// Estimated number of nested calls that a repeated call repeats towards each downstream service.
 constexpr double repeatedCallsPerService = 5.0;
 
@@ -70,15 +73,14 @@
     return shouldShedAtEntry(service.shed, service.choice, candidates, call.importance, now);
 }
 
-const Member *TargetChooser::choose(const Call &call, const std::set<std::string> &tried,
-                                    TimePoint now)
+const Member *TargetChooser::choose(const Call &call, const Attempts &attempts, TimePoint now)
 {
     ServiceState &service = services_[call.service];
     if (retryLimits_)
         service.budget.limits = *retryLimits_;
-    if (tried.empty())
+    if (attempts.count == 0)
         noteFirstAttempt(service.budget, now);
-    const auto members = usableMembersOf(call.service, tried);
+    const auto members = usableMembersOf(call.service, attempts.excluded);
     const auto index = plugin_.choose(service.choice, candidatesOf(members),
                                       {call.importance, call.duration}, now);
     return index ? members.at(*index) : nullptr;
@@ -109,11 +111,13 @@
     chive::noteEnded(services_[call.service].choice, nodeId, end, now);
 }
 
-bool TargetChooser::takeRetry(const Call &call, const CallOutcome &outcome,
-                              const std::set<std::string> &tried, Allowance &left, TimePoint now)
+TargetChooser::RetryPlan TargetChooser::takeRetry(const Call &call, const CallOutcome &outcome,
+                                                  const Attempts &attempts, Allowance &left,
+                                                  TimePoint now)
 {
-    if (tried.size() >= maximumAttempts)
-        return false;
+    const bool isTurnedAway = isTurnedAwayByTarget(outcome.result);
+    if (attempts.count >= (isTurnedAway ? maximumOffers : maximumAttempts))
+        return RetryPlan::None;
     const bool mayHaveRun
             = outcome.result.has_value() || outcome.result.error().execution != Execution::NotRun;
     const auto nested = mayHaveRun ? downstreamBudgets(call) : std::vector<RetryBudget *>();
@@ -121,12 +125,34 @@
         return hasTokens(*budget, repeatedCallsPerService, now);
     });
     if (!allowsNestedRepeats)
-        return false;
+        return RetryPlan::None;
+    RetryPlan plan = RetryPlan::None;
+    if (takeRetryAt(call, outcome, usableMembersOf(call.service, attempts.excluded), false, left,
+                    now)) {
+        plan = RetryPlan::OtherTarget;
+    } else if (isTurnedAway) {
+        auto rejecting = usableMembersOf(call.service, {});
+        std::erase_if(rejecting, [&](const Member *member) {
+            return !attempts.rejecting.contains(member->nodeId);
+        });
+        if (takeRetryAt(call, outcome, std::move(rejecting), true, left, now))
+            plan = RetryPlan::OfferAgain;
+    }
+    if (plan != RetryPlan::None) {
+        for (RetryBudget *budget : nested)
+            takeTokens(*budget, repeatedCallsPerService);
+    }
+    return plan;
+}
+
+bool TargetChooser::takeRetryAt(const Call &call, const CallOutcome &outcome,
+                                std::vector<const Member *> targets, bool isRepeatedOffer,
+                                Allowance &left, TimePoint now)
+{
     ServiceState &service = services_[call.service];
-    auto others = usableMembersOf(call.service, tried);
     // Under overload the budget must not be spent on calls that the next target would refuse too.
     if (isRefusedForOverload(outcome.result)) {
-        std::erase_if(others, [&](const Member *member) {
+        std::erase_if(targets, [&](const Member *member) {
             const auto view = service.choice.targets.find(member->nodeId);
             return view != service.choice.targets.end()
                    && !wouldAdmit(view->second, call.importance, now);
@@ -135,18 +161,15 @@
     AttemptOutcome end;
     end.result = &outcome.result;
     end.failedBelow = outcome.failedBelow;
-    end.hasOtherTarget = !others.empty();
+    end.hasOtherTarget = !targets.empty();
+    end.isRepeatedOffer = isRepeatedOffer;
     std::optional<Microseconds> shortest;
-    for (const Member *member : others) {
+    for (const Member *member : targets) {
         const Microseconds latency = expectedLatency(service.choice, member->nodeId);
         shortest = std::min(latency, shortest.value_or(latency));
     }
     end.expectedLatency = shortest.value_or(Microseconds(0));
-    if (!chive::takeRetry(call, end, left, service.budget, now))
-        return false;
-    for (RetryBudget *budget : nested)
-        takeTokens(*budget, repeatedCallsPerService);
-    return true;
+    return chive::takeRetry(call, end, left, service.budget, now);
 }
 
 std::vector<RetryBudget *> TargetChooser::downstreamBudgets(const Call &call)
--- a/Services/Node/TargetChooser.h
+++ b/Services/Node/TargetChooser.h
@@ -6,6 +6,7 @@
 #include <LibPolicy/EntryShed.h>
 #include <LibPolicy/Retry.h>
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,6 +21,15 @@
 class TargetChooser
 {
 public:
+    /// The attempts of a call until now.
+    struct Attempts
+    {
+        std::size_t count = 0;
+        std::set<std::string> excluded; ///< Ids of nodes that do not get the next attempt.
+        /// Ids of those of them whose targets turned the call away. It may be offered there again.
+        std::set<std::string> rejecting;
+    };
+
     TargetChooser(const ChoicePlugin &plugin, const Settings &settings);
 
     void setMembers(const std::vector<Member> &members);
@@ -37,8 +47,7 @@
 
     /// The target for the next attempt, or null if there is none. Valid until setMembers() is
     /// called.
-    [[nodiscard]] const Member *choose(const Call &call, const std::set<std::string> &tried,
-                                       TimePoint now);
+    [[nodiscard]] const Member *choose(const Call &call, const Attempts &attempts, TimePoint now);
 
     /// Records that an attempt is sent to a target.
     void noteSent(const Call &call, const std::string &nodeId, TimePoint now);
@@ -57,11 +66,16 @@
     void noteAbandoned(const Call &call, const std::string &nodeId, TimePoint sentAt,
                        TimePoint now);
 
-    /// Whether to retry on another target. If true, one retry is taken from `left` and from the
-    /// service's budget, and if the call may have run, tokens from the downstream budgets.
-    [[nodiscard]] bool takeRetry(const Call &call, const CallOutcome &outcome,
-                                 const std::set<std::string> &tried, Allowance &left,
-                                 TimePoint now);
+    enum class RetryPlan : std::uint8_t {
+        None,
+        OtherTarget,
+        OfferAgain, ///< To the targets that turned the call away, after a pause.
+    };
+
+    /// Whether and where to retry. A retry is taken from the service's budget and, at another
+    /// target, from `left`; if the call may have run, tokens also from the downstream budgets.
+    [[nodiscard]] RetryPlan takeRetry(const Call &call, const CallOutcome &outcome,
+                                      const Attempts &attempts, Allowance &left, TimePoint now);
 
     /// The number of retries that the budget of each service allows now. A retry also needs the
     /// allowance of its call.
@@ -75,6 +89,11 @@
         RetryBudget budget;
     };
 
+    /// Takes a retry at one of the targets; false if there is none or it is not allowed.
+    [[nodiscard]] bool takeRetryAt(const Call &call, const CallOutcome &outcome,
+                                   std::vector<const Member *> targets, bool isRepeatedOffer,
+                                   Allowance &left, TimePoint now);
+
     /// The budgets of the downstream services, which a repeated call also draws on. Empty if no
     /// retry bound is set.
     [[nodiscard]] std::vector<RetryBudget *> downstreamBudgets(const Call &call);
--- a/Tests/LibPolicy/TestSharedRetryBound.cpp
+++ b/Tests/LibPolicy/TestSharedRetryBound.cpp
@@ -26,8 +26,20 @@
     std::vector<int> retries = std::vector<int>(steps);
 };
 
-/// Simulates nodes that spend every token as soon as they may, under a load that varies at random.
-History spendGreedily(std::size_t nodes, unsigned seed)
+/// When the nodes spend the tokens that they have.
+enum class Spending {
+    AtOnce,
+    InFaults, ///< All nodes together, now and then, for a quarter of a window.
+};
+
+bool spends(Spending spending, std::size_t at)
+{
+    constexpr std::size_t period = 2 * stepsInWindow - 3;
+    return spending == Spending::AtOnce || at % period < stepsInWindow / 4;
+}
+
+/// Simulates nodes that spend every token that they may, under a load that varies at random.
+History spendGreedily(std::size_t nodes, unsigned seed, Spending spending = Spending::AtOnce)
 {
     std::mt19937 random(seed);
     std::vector<RetryBudget> budgets(nodes);
@@ -44,7 +56,7 @@
             for (int request = 0; request < requests; ++request)
                 noteFirstAttempt(budget, now);
             history.requests[i] += requests;
-            while (hasTokens(budget, 1.0, now)) {
+            while (spends(spending, i) && hasTokens(budget, 1.0, now)) {
                 takeTokens(budget, 1.0);
                 ++history.retries[i];
             }
@@ -80,3 +92,20 @@
         }
     }
 }
+
+TEST_CASE("Nodes that save tokens for a fault stay within the shared bound")
+{
+    for (const std::size_t nodes : {1, 3, 10, 17, 90, 300}) {
+        for (unsigned seed = 1; seed <= 5; ++seed) {
+            CAPTURE(nodes);
+            CAPTURE(seed);
+            const History history = spendGreedily(nodes, seed, Spending::InFaults);
+            for (std::size_t from = stepsInWindow; from + stepsInWindow <= steps; ++from) {
+                const int requests = std::max({sumOf(history.requests, from),
+                                               sumOf(history.requests, from - stepsInWindow / 2),
+                                               sumOf(history.requests, from - stepsInWindow)});
+                REQUIRE(sumOf(history.retries, from) <= ratio * requests + constant);
+            }
+        }
+    }
+}
