Node: Take configuration records from the store before those of peers

Cause: a node answered each announcement of an older version with its whole record, although most nodes read it from the store within milliseconds. In a storm of configurations records of 100 KB crossed data centres many times.

Change: a node that hears of a newer version gives the store 400 ms and then asks, a peer of its own data centre rather than another. One without a configuration asks at once.

--- a/Services/Node/ConfigurationTask.cpp
+++ b/Services/Node/ConfigurationTask.cpp
@@ -9,9 +9,11 @@
 #include <prometheus/registry.h>
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chive {
@@ -23,6 +25,11 @@
 constexpr Milliseconds gossipInterval{250};
 /// Random peers that receive each announcement.
 constexpr std::size_t peersPerRound = 2;
+/// How long a node that hears of a newer version waits for the store to send it the record. Most
+/// nodes get it from there, so that records need not cross the links between data centres too.
+constexpr Milliseconds storeAdvantage{400};
+/// The version in a request for the peer's record.
+constexpr std::uint64_t noVersion = 0;
 constexpr std::string_view storeSource = "store";
 
 /// Maintains the configuration in force: the newest version received from the store or a peer.
@@ -43,7 +50,7 @@
         Bus &bus = kernel.bus();
         bus.subscribe<StoreRead>([this](const StoreRead &read) { handleRead(read); });
         bus.subscribe<MembersChanged>(
-                [this](const MembersChanged &changed) { members_ = changed.members; });
+                [this](const MembersChanged &changed) { setMembers(changed.members); });
         bus.subscribe<ReceivedFromPeer>([this](const ReceivedFromPeer &frame) {
             if (frame.topic == Topic::Configuration)
                 handleFrame(frame);
@@ -60,6 +67,14 @@
     }
 
 private:
+    void setMembers(std::shared_ptr<const std::vector<Member>> members)
+    {
+        members_ = std::move(members);
+        std::erase_if(laggingPeers_, [this](const auto &entry) {
+            return std::ranges::find(*members_, entry.first, &Member::links) == members_->end();
+        });
+    }
+
     void handleRead(const StoreRead &read)
     {
         if (read.topic != StoreTopic::Configuration)
@@ -106,10 +121,51 @@
         const ConfigurationFrame &received = parsed.value();
         if (!received.record.empty())
             applyRecord(received.record, "peer");
-        else if (received.version < version_)
-            send(frame.peer, {version_, *latestRecord_});
         else if (received.version > version_)
-            send(frame.peer, {version_, {}}); // The peer replies with its record.
+            handleNewerVersion(frame.peer, received.version);
+        else if (received.version < version_ && shouldSendRecord(frame.peer, received.version))
+            send(frame.peer, {version_, *latestRecord_});
+    }
+
+    /// Whether the peer asks for the record, or has not got on by itself since it was first heard
+    /// of with this version.
+    bool shouldSendRecord(const Endpoint &peer, std::uint64_t version)
+    {
+        if (version == noVersion)
+            return true;
+        const TimePoint now = kernel_.clock().now();
+        LaggingPeer &lagging = laggingPeers_[peer];
+        if (lagging.version != version) {
+            lagging = {version, now};
+            return false;
+        }
+        return now - lagging.since >= storeAdvantage;
+    }
+
+    void handleNewerVersion(const Endpoint &peer, std::uint64_t version)
+    {
+        if (version_ == noVersion) {
+            send(peer, {noVersion, {}});
+            return;
+        }
+        const bool isNewest = version > newestHeard_;
+        if (isNewest || isNear(peer))
+            newestHeardFrom_ = peer;
+        newestHeard_ = std::max(newestHeard_, version);
+        if (requestTimer_.isActive())
+            return;
+        requestTimer_ = kernel_.loop().after(storeAdvantage, [this] {
+            requestTimer_.cancel();
+            if (version_ < newestHeard_)
+                send(newestHeardFrom_, {noVersion, {}});
+        });
+    }
+
+    [[nodiscard]] bool isNear(const Endpoint &peer) const
+    {
+        return std::ranges::any_of(*members_, [&](const Member &member) {
+            return member.links == peer && member.dataCentre == kernel_.settings().dataCentre;
+        });
     }
 
     void send(const Endpoint &peer, const ConfigurationFrame &frame)
@@ -138,8 +194,18 @@
     std::uint64_t version_ = 0;
     std::string source_ = "none";
     std::shared_ptr<const std::string> latestRecord_ = std::make_shared<const std::string>();
+    /// A peer with an older version.
+    struct LaggingPeer
+    {
+        std::uint64_t version = 0;
+        TimePoint since; ///< When it was first heard of with this version.
+    };
+    std::map<Endpoint, LaggingPeer> laggingPeers_;
+    std::uint64_t newestHeard_ = 0; ///< The newest version that peers have announced.
+    Endpoint newestHeardFrom_;
     std::minstd_rand random_{std::random_device{}()};
     Timer timer_;
+    Timer requestTimer_; ///< While the store may still send the newest version.
 };
 
 const Registration<TaskPlugin> registration{TaskPlugin{
--- /dev/null
+++ b/Tests/Platform/TestConfigurationTask.cpp
@@ -0,0 +1,198 @@
+#include <LibKernel/Kernel.h>
+#include <LibNode/ConfigurationFrame.h>
+#include <LibNode/Messages.h>
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace chive;
+
+namespace {
+
+const Endpoint nearPeer{"127.0.0.1", 1};
+const Endpoint farPeer{"127.0.0.1", 2};
+/// Longer than a node waits for the store, and than the interval of announcements.
+constexpr Milliseconds longer{600};
+
+Settings settings()
+{
+    Settings settings;
+    settings.nodeId = "node-1";
+    settings.dataCentre = "here";
+    settings.dialect = "platform";
+    settings.backing = Settings::Backing::Store;
+    return settings;
+}
+
+std::string recordOf(std::uint64_t version)
+{
+    return nlohmann::json{{"version", version},
+                          {"services", nlohmann::json::array()},
+                          {"virtualHosts", nlohmann::json::array()}}
+            .dump();
+}
+
+Member memberAt(const Endpoint &links, std::string dataCentre)
+{
+    Member member;
+    member.nodeId = "node-" + std::to_string(links.port + 1);
+    member.links = links;
+    member.dataCentre = std::move(dataCentre);
+    return member;
+}
+
+/// The task of one node, between a store and two peers.
+struct Node
+{
+    struct Sent
+    {
+        Endpoint peer;
+        ConfigurationFrame frame;
+    };
+
+    SystemClock clock;
+    Kernel kernel{settings(), clock};
+    std::unique_ptr<Task> task = Registry<TaskPlugin>::find("configuration")->create(kernel);
+    std::vector<Sent> sent;
+    std::uint64_t version = 0;
+
+    Node()
+    {
+        kernel.bus().subscribe<CatalogueChanged>(
+                [this](const CatalogueChanged &changed) { version = changed.catalogue->version; });
+        kernel.bus().subscribe<SendToPeer>([this](const SendToPeer &message) {
+            sent.push_back({message.peer, decodeConfigurationFrame(*message.payload).value()});
+        });
+        auto members = std::make_shared<const std::vector<Member>>(
+                std::vector<Member>{memberAt(nearPeer, "here"), memberAt(farPeer, "there")});
+        kernel.bus().post(MembersChanged{std::move(members)});
+        task->start();
+        runFor(Milliseconds(10));
+    }
+
+    void runFor(Milliseconds time)
+    {
+        const Timer timer = kernel.loop().after(time, [this] { kernel.loop().stop(); });
+        kernel.loop().run();
+    }
+
+    void readFromStore(std::uint64_t newVersion)
+    {
+        kernel.bus().post(StoreRead{StoreTopic::Configuration,
+                                    {StoreEntry{"config", recordOf(newVersion), newVersion}},
+                                    false});
+        runFor(Milliseconds(10));
+    }
+
+    void receive(const Endpoint &peer, const ConfigurationFrame &frame)
+    {
+        kernel.bus().post(ReceivedFromPeer{
+                peer, LinkClass::Control, Topic::Configuration,
+                std::make_shared<const std::string>(encodeConfigurationFrame(frame))});
+        runFor(Milliseconds(10));
+    }
+
+    [[nodiscard]] std::size_t requestsTo(const Endpoint &peer) const
+    {
+        return std::ranges::count_if(sent, [&](const Sent &one) {
+            return one.peer == peer && one.frame.version == 0 && one.frame.record.empty();
+        });
+    }
+
+    [[nodiscard]] std::size_t recordsTo(const Endpoint &peer) const
+    {
+        return std::ranges::count_if(sent, [&](const Sent &one) {
+            return one.peer == peer && !one.frame.record.empty();
+        });
+    }
+};
+
+} // namespace
+
+TEST_CASE("A node that hears of a newer configuration from a peer")
+{
+    Node node;
+    node.readFromStore(7);
+    REQUIRE(node.version == 7);
+
+    SUBCASE("does not ask for it if the store sends it soon")
+    {
+        node.receive(farPeer, {8, {}});
+        node.readFromStore(8);
+        node.runFor(longer);
+        CHECK(node.version == 8);
+        CHECK(node.requestsTo(farPeer) == 0);
+    }
+
+    SUBCASE("asks for it if the store does not")
+    {
+        node.receive(farPeer, {8, {}});
+        node.runFor(longer);
+        CHECK(node.requestsTo(farPeer) == 1);
+        node.receive(farPeer, {8, recordOf(8)});
+        CHECK(node.version == 8);
+    }
+
+    SUBCASE("asks a peer of its own data centre rather than one of another")
+    {
+        node.receive(farPeer, {8, {}});
+        node.receive(nearPeer, {8, {}});
+        node.receive(farPeer, {8, {}});
+        node.runFor(longer);
+        CHECK(node.requestsTo(nearPeer) == 1);
+        CHECK(node.requestsTo(farPeer) == 0);
+    }
+
+    SUBCASE("asks again if the answer is lost")
+    {
+        node.receive(farPeer, {8, {}});
+        node.runFor(longer);
+        node.receive(farPeer, {8, {}});
+        node.runFor(longer);
+        CHECK(node.requestsTo(farPeer) == 2);
+    }
+}
+
+TEST_CASE("A node without a configuration asks the first peer that has one at once")
+{
+    Node node;
+    node.sent.clear();
+    node.receive(farPeer, {8, {}});
+    CHECK(node.requestsTo(farPeer) >= 1);
+}
+
+TEST_CASE("A node sends its record to a peer")
+{
+    Node node;
+    node.readFromStore(7);
+
+    SUBCASE("that asks for it")
+    {
+        node.receive(farPeer, {0, {}});
+        CHECK(node.recordsTo(farPeer) == 1);
+    }
+
+    SUBCASE("that stays behind, but not at its first word, as it may be reading the store itself")
+    {
+        node.receive(farPeer, {6, {}});
+        node.runFor(longer);
+        CHECK(node.recordsTo(farPeer) == 0);
+        node.receive(farPeer, {6, {}});
+        CHECK(node.recordsTo(farPeer) == 1);
+    }
+
+    SUBCASE("but not to one that gets on")
+    {
+        node.receive(farPeer, {5, {}});
+        node.runFor(longer);
+        node.receive(farPeer, {6, {}});
+        node.runFor(longer);
+        node.receive(farPeer, {7, {}});
+        CHECK(node.recordsTo(farPeer) == 0);
+    }
+}
