Node: Count the bytes on links by purpose and data centre

chiverouter_link_bytes_total gets the labels purpose and data_centre; a line each ten seconds and at a stop says what was sent to other data centres.

--- a/Services/Node/LinkFrame.cpp
+++ b/Services/Node/LinkFrame.cpp
@@ -27,6 +27,30 @@
     return "unknown";
 }
 
+std::string_view purposeOf(Topic topic)
+{
+    switch (topic) {
+    case Topic::Call:
+    case Topic::Answer:
+    case Topic::Cancel:
+        return "calls";
+    case Topic::Membership:
+    case Topic::Hello:
+        return "membership";
+    case Topic::Notes:
+    case Topic::Configuration:
+        return "configuration";
+    case Topic::Pressure:
+    case Topic::PressureSummary:
+        return "load";
+    case Topic::Once:
+    case Topic::Quarantine:
+    case Topic::Status:
+        return "other";
+    }
+    return "other";
+}
+
 std::string joinFrame(Topic topic, std::string_view payload)
 {
     std::string message;
--- a/Services/Node/LinkFrame.h
+++ b/Services/Node/LinkFrame.h
@@ -14,6 +14,9 @@
 
 [[nodiscard]] std::string_view nameOf(LinkClass linkClass);
 
+/// What the frames of a topic are for, as the metrics name it.
+[[nodiscard]] std::string_view purposeOf(Topic topic);
+
 /// Identifies a link by the peer's link endpoint and the class.
 struct LinkKey
 {
--- a/Services/Node/LinkTask.cpp
+++ b/Services/Node/LinkTask.cpp
@@ -3,13 +3,12 @@
 #include <LibLink/Link.h>
 #include <LibNode/Messages.h>
 #include <Node/LinkFrame.h>
+#include <Node/LinkTraffic.h>
 
 #include <event2/listener.h>
 #include <event2/util.h>
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
-#include <prometheus/counter.h>
-#include <prometheus/registry.h>
 
 #include <algorithm>
 #include <deque>
@@ -27,6 +26,7 @@
 constexpr std::size_t maximumPendingFrames = 4096;        // frames that wait for one link to open
 /// How long no link is accepted after a failure to accept one.
 constexpr Milliseconds acceptPause{50};
+constexpr Milliseconds trafficLogInterval{10'000};
 
 /// A link and the frames that wait for it to open.
 struct Connection
@@ -44,16 +44,11 @@
 public:
     explicit LinkTask(Kernel &kernel)
         : kernel_(kernel)
+        , traffic_(kernel)
     {
-        auto &bytes = prometheus::BuildCounter()
-                              .Name("chiverouter_link_bytes_total")
-                              .Help("Bytes on links between nodes.")
-                              .Register(kernel.metrics());
-        for (const LinkClass linkClass : allLinkClasses) {
-            const std::string name(nameOf(linkClass));
-            bytesSent_[linkClass] = &bytes.Add({{"class", name}, {"direction", "sent"}});
-            bytesReceived_[linkClass] = &bytes.Add({{"class", name}, {"direction", "received"}});
-        }
+        kernel.bus().subscribe<MembersChanged>(
+                [this](const MembersChanged &changed) { traffic_.setMembers(*changed.members); });
+        kernel.bus().subscribe<StopRequested>([this](const StopRequested &) { traffic_.log(); });
         kernel.addInFlight("links_unsent", [this] { return unsentLinks(); });
         kernel.bus().subscribe<SendToPeer>([this](const SendToPeer &frame) { send(frame); });
         kernel.addStatus("links", [this] { return status(); });
@@ -82,6 +77,7 @@
             static_cast<LinkTask *>(argument)->pauseAccepting();
         };
         evconnlistener_set_error_cb(listener_, handleError);
+        trafficTimer_ = kernel_.loop().every(trafficLogInterval, [this] { traffic_.log(); });
     }
 
 private:
@@ -163,7 +159,7 @@
             reportUnsent(frame);
             return;
         }
-        bytesSent_.at(frame.linkClass)->Increment(static_cast<double>(message.size()));
+        traffic_.noteSent(frame.peer, frame.linkClass, frame.topic, message.size());
     }
 
     void reportUnsent(const SendToPeer &frame)
@@ -198,8 +194,8 @@
         }
         if (!connection.key)
             return;
-        bytesReceived_.at(connection.key->linkClass)
-                ->Increment(static_cast<double>(message.size()));
+        traffic_.noteReceived(connection.key->peer, connection.key->linkClass, frame->topic,
+                              message.size());
         kernel_.bus().post(ReceivedFromPeer{connection.key->peer, connection.key->linkClass,
                                             frame->topic, makeBody(std::string(frame->payload))});
     }
@@ -260,8 +256,8 @@
     ConnectionId nextId_ = 1;
     std::map<ConnectionId, Connection> connections_;
     std::map<LinkKey, ConnectionId> idsByKey_;
-    std::map<LinkClass, prometheus::Counter *> bytesSent_;
-    std::map<LinkClass, prometheus::Counter *> bytesReceived_;
+    LinkTraffic traffic_;
+    Timer trafficTimer_;
 };
 
 const Registration<TaskPlugin> registration{TaskPlugin{
