--- a/Libraries/LibPolicy/Collectors.cpp
+++ b/Libraries/LibPolicy/Collectors.cpp
@@ -9,12 +9,17 @@
 
 /// The second one continues while the failure of the first is not yet detected.
 constexpr std::size_t collectorCount = 2;
-constexpr Milliseconds shortestInterval{100};
 /// Upper bound of the reports per second that one collector receives.
 constexpr std::size_t reportsPerSecond = 330;
 /// Several report intervals, so that the shares survive one late summary.
 constexpr Milliseconds summaryLifetime{1'000};
 
+/// A service below this pressure has room.
+constexpr double pressureWithRoom = 0.6;
+constexpr int calmReportPeriod = 2;
+/// With the shortest interval, a third of the lifetime of a summary.
+constexpr int calmSummaryPeriod = 3;
+
 bool comesBefore(const Member &left, const Member &right)
 {
     if (left.state != right.state)
@@ -45,7 +50,19 @@
 Milliseconds reportIntervalFor(std::size_t members)
 {
     const Milliseconds paced{1'000 * members / reportsPerSecond};
-    return std::max(shortestInterval, paced);
+    return std::max(shortestReportInterval, paced);
+}
+
+ReportPeriods reportPeriodsFor(const MeshPressure &mesh)
+{
+    const bool hasRoom = std::ranges::all_of(mesh.services, [](const auto &service) {
+        return service.second.own < pressureWithRoom;
+    });
+    const bool isAllAdmitted = std::ranges::all_of(
+            mesh.rootShares, [](const auto &share) { return share.second >= 1.0; });
+    if (mesh.services.empty() || !hasRoom || !isAllAdmitted)
+        return {};
+    return {calmReportPeriod, calmSummaryPeriod};
 }
 
 std::optional<std::size_t> selectSummary(std::span<const SummaryCandidate> offers, TimePoint now)
--- a/Libraries/LibPolicy/Collectors.h
+++ b/Libraries/LibPolicy/Collectors.h
@@ -19,10 +19,23 @@
 /// nodes are preferred to suspects.
 [[nodiscard]] std::vector<Member> collectorsOf(std::span<const Member> members);
 
+inline constexpr Milliseconds shortestReportInterval{100};
+
 /// The interval between the reports of a node. It grows with the number of nodes, so that the
 /// message rate at a collector stays bounded.
 [[nodiscard]] Milliseconds reportIntervalFor(std::size_t members);
 
+/// How often a node reports and a collector sends its summary, in report intervals.
+struct ReportPeriods
+{
+    int report = 1;
+    int summary = 1;
+};
+
+/// Returns longer periods while every service has room and everything is admitted, since nothing
+/// depends on the reports then.
+[[nodiscard]] ReportPeriods reportPeriodsFor(const MeshPressure &mesh);
+
 /// A received summary that could be used.
 struct SummaryCandidate
 {
--- a/Services/Node/PressureTask.cpp
+++ b/Services/Node/PressureTask.cpp
@@ -26,6 +26,8 @@
 constexpr int idleReportPeriod = 5;
 /// A target below this pressure is idle.
 constexpr double idlePressure = 0.3;
+/// A target from this pressure on is reported in each interval.
+constexpr double pressureOfLoad = 0.6;
 /// A kind is reported as entering at this node for this long after a request.
 constexpr Milliseconds enteredKindLifetime{5'000};
 
@@ -136,14 +138,27 @@
             return now - entry.second.at > enteredKindLifetime;
         });
         smoothedPressure_ += smoothingFactor * (latestTargetPressure_.pressure - smoothedPressure_);
-        if (isReportDue())
+        const ReportPeriods periods = reportPeriodsNow();
+        if (++intervalsSinceReport_ >= periods.report && isReportDue()) {
+            intervalsSinceReport_ = 0;
             sendReport(now);
+        }
         forgetOldReports(pressureTable_, now);
-        if (!pressureTable_.byNode.empty())
+        if (++intervalsSinceSummary_ >= periods.summary && !pressureTable_.byNode.empty()) {
+            intervalsSinceSummary_ = 0;
             broadcastSummary(now);
+        }
         publish(now);
     }
 
+    /// Slower reports need the short interval: the interval of a large mesh is long already.
+    [[nodiscard]] ReportPeriods reportPeriodsNow() const
+    {
+        const bool isLoaded = smoothedPressure_ >= pressureOfLoad
+                              || reportIntervalFor(members_->size()) > shortestReportInterval;
+        return isLoaded ? ReportPeriods{} : reportPeriodsFor(*mesh_);
+    }
+
     bool isReportDue()
     {
         if (!rootCounts_.empty() || !work_.empty())
@@ -249,6 +264,7 @@
         const auto mesh = chosen ? meshes[*chosen] : std::make_shared<const MeshPressure>();
         for (const auto &[service, pressure] : mesh->services)
             pressures_.Add({{"service", service}}).Set(pressure.below);
+        mesh_ = mesh;
         kernel_.bus().post(PressureChanged{mesh});
     }
 
@@ -258,6 +274,9 @@
     TargetPressure latestTargetPressure_;
     double smoothedPressure_ = 0.0;
     int skippedReports_ = 0;
+    int intervalsSinceReport_ = 0;
+    int intervalsSinceSummary_ = 0;
+    std::shared_ptr<const MeshPressure> mesh_ = std::make_shared<const MeshPressure>();
     std::map<std::string, EnteredKind> enteredKinds_;          ///< By kind.
     std::map<std::string, RootCount, std::less<>> rootCounts_; ///< Since the last report, by kind.
     WorkByKind work_;                                          ///< Since the last report.
--- a/Tests/LibPolicy/TestRootAdmission.cpp
+++ b/Tests/LibPolicy/TestRootAdmission.cpp
@@ -305,6 +305,27 @@
         for (const std::size_t nodes : {100, 300, 890})
             CHECK(nodes * 1'000.0 / reportIntervalFor(nodes).count() <= 340.0);
     }
+    SUBCASE("reports are fewer only while every service has room and everything is admitted")
+    {
+        MeshPressure mesh;
+        CHECK(reportPeriodsFor(mesh).report == 1);
+        mesh.services["front"].own = 0.3;
+        mesh.rootShares["browse"] = 1.0;
+        CHECK(reportPeriodsFor(mesh).report == 2);
+        CHECK(reportPeriodsFor(mesh).summary == 3);
+        SUBCASE("not with a service that fills up")
+        {
+            mesh.services["deep"].own = 0.7;
+            CHECK(reportPeriodsFor(mesh).report == 1);
+            CHECK(reportPeriodsFor(mesh).summary == 1);
+        }
+        SUBCASE("not with a kind that is limited")
+        {
+            mesh.rootShares["browse"] = 0.9;
+            CHECK(reportPeriodsFor(mesh).report == 1);
+            CHECK(reportPeriodsFor(mesh).summary == 1);
+        }
+    }
     SUBCASE("the recent summary made from the most reports is selected")
     {
         const TimePoint now{std::chrono::hours(1)};
