Node: Read the store's directory seldom once others are known

Cause: every node read each change of the directory within a second, so a joining machine cost a call of every node.

Ruled out: that nodes need it to learn of a new one; that one reads the directory and its membership messages reach them.

Change: after three reads, and while it knows another member, a node reads changes every 5 to 10 s. A restored store is still seen by the long poll of the configuration, which reads all topics again.

--- a/Services/Node/StoreTask.cpp
+++ b/Services/Node/StoreTask.cpp
@@ -29,9 +29,13 @@
 /// Retry delays. Changes missed during an outage must be known within 2 s of the store's return.
 constexpr Milliseconds firstRetryDelay{200};
 constexpr Milliseconds longestRetryDelay{1'000};
-/// Interval between reads of the directory. Nodes that know each other also learn of a new node
-/// from their peers within this time.
+/// Interval between the first reads of the directory, in which nodes that start together find each
+/// other.
 constexpr Milliseconds directoryReadInterval{1'000};
+constexpr std::size_t firstDirectoryReads = 3;
+/// Interval between later reads. A new node finds those before it in the directory and is known to
+/// all of them through their membership messages.
+constexpr Milliseconds laterDirectoryReadInterval{10'000};
 
 /// The node's only client of the store. For each followed topic it reads the newest values, then
 /// waits for changes from that offset on. When the store was restored from an older copy, it reads
@@ -63,6 +67,9 @@
         Bus &bus = kernel.bus();
         bus.subscribe<FollowTopic>([this](const FollowTopic &message) { follow(message.topic); });
         bus.subscribe<PutInStore>([this](const PutInStore &message) { put(message); });
+        bus.subscribe<MembersChanged>([this](const MembersChanged &changed) {
+            knowsOthers_ = changed.members->size() > 1;
+        });
         kernel.addStatus("store", [this] {
             return nlohmann::json{{"reachable", isReachable_}, {"topics", topics_.size()}};
         });
@@ -78,6 +85,7 @@
         std::uint64_t lastCall = 0; ///< Number of the topic's newest call; others are abandoned.
         HttpClient::RequestId request = 0;
         std::vector<StoreEntry> pageEntries;
+        std::size_t reads = 0; ///< Successful ones since the start.
         Milliseconds retryDelay = firstRetryDelay;
         Timer timer;
     };
@@ -199,10 +207,12 @@
             awaitChanges(topic);
             return;
         }
-        std::uniform_int_distribution<std::int64_t> spread(directoryReadInterval.count() / 2,
-                                                           directoryReadInterval.count());
-        topics_.at(topic).timer = kernel_.loop().after(Milliseconds(spread(random_)),
-                                                       [this, topic] { awaitChanges(topic); });
+        FollowedTopic &followed = topics_.at(topic);
+        const bool isEarly = ++followed.reads <= firstDirectoryReads || !knowsOthers_;
+        const Milliseconds longest = isEarly ? directoryReadInterval : laterDirectoryReadInterval;
+        std::uniform_int_distribution<std::int64_t> spread(longest.count() / 2, longest.count());
+        followed.timer = kernel_.loop().after(Milliseconds(spread(random_)),
+                                              [this, topic] { awaitChanges(topic); });
     }
 
     void put(const PutInStore &message)
@@ -279,6 +289,7 @@
     StoreEra era_; ///< The newest one seen in any answer.
     std::map<StoreTopic, FollowedTopic> topics_;
     bool isReachable_ = false;
+    bool knowsOthers_ = false; ///< Another member is known.
     std::mt19937_64 random_{std::random_device{}()};
 };
 
--- a/Tests/Platform/TestRestoredStore.cpp
+++ b/Tests/Platform/TestRestoredStore.cpp
@@ -175,6 +175,36 @@
     }
 }
 
+TEST_CASE("New entries of the directory cost a node few calls")
+{
+    Node node({"store"});
+    const auto writeEntries = [&](int count) {
+        for (int i = 0; i < count; ++i) {
+            node.store.write(directory, "late-" + std::to_string(i), "1");
+            node.wait(Milliseconds(250));
+        }
+    };
+    constexpr std::size_t mostEarlyCalls
+            = 5; // One read of all, three early changes, one that waits.
+
+    SUBCASE("that knows others, which tell it of new nodes")
+    {
+        auto members = std::make_shared<const std::vector<Member>>(2);
+        node.kernel.bus().post(MembersChanged{std::move(members)});
+        node.kernel.bus().post(FollowTopic{StoreTopic::Directory});
+        writeEntries(18);
+        CHECK(node.store.calls() <= mostEarlyCalls);
+    }
+
+    SUBCASE("unless it is alone, as it must find others soon")
+    {
+        node.kernel.bus().post(FollowTopic{StoreTopic::Directory});
+        writeEntries(18);
+        CHECK(node.store.calls() > mostEarlyCalls);
+        CHECK(node.hasSeen(StoreTopic::Directory, directory));
+    }
+}
+
 TEST_CASE("The configuration in force never goes back to what an older copy of the store holds")
 {
     const auto record = [](int version, int idleTimeout) {
