--- a/Libraries/LibPolicy/TwoChoices.cpp
+++ b/Libraries/LibPolicy/TwoChoices.cpp
@@ -111,7 +111,7 @@
     const TargetLoad &load = target.view->load;
     const double inFlight = std::max<double>(load.inFlight, target.view->shortInFlight.size()
                                                                     + target.view->longInFlight);
-    return load.queued > nearLimitQueue * load.limit || inFlight >= nearLimitShare * load.limit;
+    return load.queued >= nearLimitQueue * load.limit || inFlight >= nearLimitShare * load.limit;
 }
 
 double costOf(const RatedTarget &target, const ChoiceRequest &request, TimePoint now)
