--- a/Libraries/LibPolicy/TwoChoices.cpp
+++ b/Libraries/LibPolicy/TwoChoices.cpp
@@ -18,9 +18,8 @@
 constexpr Milliseconds firstSlowPause{300};
 constexpr Milliseconds longestSlowPause{2'400};
 constexpr Milliseconds failedPause{200};
-/// Share of its limit from which a target counts as near its limit, and of work that waits.
-constexpr double nearLimitShare = 0.95;
-constexpr double nearLimitQueue = 0.1;
+/// Share of its limit from which a target counts as near its limit.
+constexpr double nearLimitShare = 0.8;
 
 struct RatedTarget
 {
@@ -111,7 +110,7 @@
     const TargetLoad &load = target.view->load;
     const double inFlight = std::max<double>(load.inFlight, target.view->shortInFlight.size()
                                                                     + target.view->longInFlight);
-    return load.queued >= nearLimitQueue * load.limit || inFlight >= nearLimitShare * load.limit;
+    return load.queued > 0 || inFlight >= nearLimitShare * load.limit;
 }
 
 double costOf(const RatedTarget &target, const ChoiceRequest &request, TimePoint now)
