--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/// Connections that the kernel completes ahead of their acceptance.
+/// Connections that may wait in the kernel to be accepted.
 constexpr int backlog = 512;
 constexpr Milliseconds checkInterval{100};
 
@@ -29,7 +29,7 @@
 HttpServer::~HttpServer()
 {
     stopAccepting();
-    // Their end may lead to callbacks that look at the server.
+    // Closing a connection calls back into the server.
     while (!connections_.empty())
         connections_.begin()->second->close();
     closed_.clear();
@@ -88,7 +88,7 @@
 
 void HttpServer::releaseClosed()
 {
-    // The end of a connection may end exchanges, whose owners may close further connections.
+    // Destroying a connection may close others.
     for (auto closed = std::exchange(closed_, {}); !closed.empty();
          closed = std::exchange(closed_, {}))
         closed.clear();
--- a/Libraries/LibHttp/HttpServerConnection.cpp
+++ b/Libraries/LibHttp/HttpServerConnection.cpp
@@ -42,7 +42,7 @@
     return isOneOfHeaders(framing, name);
 }
 
-bool splitsHead(std::string_view text)
+bool hasLineBreak(std::string_view text)
 {
     return text.find_first_of(std::string_view("\r\n\0", 3)) != std::string_view::npos;
 }
@@ -88,7 +88,7 @@
     head.append(std::to_string(response.status)).append(" ");
     head.append(reasonPhrase(response.status)).append("\r\n");
     for (const auto &[name, value] : response.headers) {
-        if (!isFramingHeader(name) && !splitsHead(name) && !splitsHead(value))
+        if (!isFramingHeader(name) && !hasLineBreak(name) && !hasLineBreak(value))
             head.append(name).append(": ").append(value).append("\r\n");
     }
     if (findHeader(response.headers, "Date").empty())
@@ -132,7 +132,7 @@
     event_base *base = context.loop.base();
     handle_ = bufferevent_socket_new(base, socket, BEV_OPT_CLOSE_ON_FREE);
     const auto onReadable = [](bufferevent *, void *argument) {
-        static_cast<HttpServerConnection *>(argument)->takeRequests();
+        static_cast<HttpServerConnection *>(argument)->processInput();
     };
     const auto onSent = [](bufferevent *, void *argument) {
         static_cast<HttpServerConnection *>(argument)->handleSent();
@@ -145,17 +145,17 @@
         static_cast<HttpServerConnection *>(argument)->close();
     };
     peerClosed_ = event_new(base, socket, EV_CLOSED, onPeerClosed, this);
-    const auto onTakeSoon = [](evutil_socket_t, short, void *argument) {
-        static_cast<HttpServerConnection *>(argument)->takeRequests();
+    const auto onProcessSoon = [](evutil_socket_t, short, void *argument) {
+        static_cast<HttpServerConnection *>(argument)->processInput();
     };
-    takeSoon_ = event_new(base, -1, 0, onTakeSoon, this);
+    processSoon_ = event_new(base, -1, 0, onProcessSoon, this);
     bufferevent_enable(handle_, EV_READ | EV_WRITE);
 }
 
 HttpServerConnection::~HttpServerConnection()
 {
     close();
-    event_free(takeSoon_);
+    event_free(processSoon_);
     bufferevent_free(handle_);
 }
 
@@ -166,24 +166,24 @@
     // libevent would close the socket later, but the lease ends now. The descriptor must not be
     // closed before its events are gone, or they take bytes from whoever gets it next.
     event_free(std::exchange(peerClosed_, nullptr));
-    event_del(takeSoon_);
+    event_del(processSoon_);
     bufferevent_disable(handle_, EV_READ | EV_WRITE);
     const evutil_socket_t socket = bufferevent_getfd(handle_);
     bufferevent_setfd(handle_, -1);
     evutil_closesocket(socket);
     lease_ = DescriptorLease();
-    held_.reset();
+    deferred_.reset();
     unsentResponses_ = 0;
-    for (const Slot &slot : std::exchange(slots_, {})) {
-        if (slot.exchange != nullptr)
-            slot.exchange->handleClosed();
+    for (const PendingResponse &unsent : std::exchange(pending_, {})) {
+        if (unsent.exchange != nullptr)
+            unsent.exchange->handleClosed();
     }
     context_.onClosed(*this);
 }
 
 bool HttpServerConnection::isIdle() const
 {
-    return !isClosed_ && slots_.empty() && unsentResponses_ == 0 && !held_ && !hasSeenLast_
+    return !isClosed_ && pending_.empty() && unsentResponses_ == 0 && !deferred_ && !hasReadLast_
            && reader_.state() == RequestReader::State::Empty && unreadBytes() == 0;
 }
 
@@ -195,7 +195,7 @@
 
 bool HttpServerConnection::isReceiving() const
 {
-    return !hasSeenLast_ && reader_.state() == RequestReader::State::Reading;
+    return !hasReadLast_ && reader_.state() == RequestReader::State::Reading;
 }
 
 std::size_t HttpServerConnection::unsentBytes() const
@@ -214,30 +214,30 @@
             = ::send(bufferevent_getfd(handle_), bytes.data(), bytes.size(), MSG_NOSIGNAL);
 }
 
-bool HttpServerConnection::canTakeRequest() const
+bool HttpServerConnection::canReadRequest() const
 {
-    if (isClosed_ || hasSeenLast_ || held_)
+    if (isClosed_ || hasReadLast_ || deferred_)
         return false;
-    if (slots_.empty())
+    if (pending_.empty())
         return unsentBytes() < maximumUnsentBytes;
     // The response to the last request that was taken will close the connection.
     if (context_.closesAfterResponses)
         return false;
-    return slots_.size() < context_.maximumPipelined && isSafe(slots_.back().method)
+    return pending_.size() < context_.maximumPipelined && isSafe(pending_.back().method)
            && unsentBytes() < maximumUnsentBytes;
 }
 
-void HttpServerConnection::takeRequests()
+void HttpServerConnection::processInput()
 {
-    // A handler may respond at once, which leads here again.
-    if (isClosed_ || std::exchange(isTaking_, true))
+    // A handler may respond at once, which calls this function again.
+    if (isClosed_ || std::exchange(isProcessing_, true))
         return;
-    if (slots_.empty() && held_) {
-        HeldRequest held = std::move(*held_);
-        held_.reset();
-        serve(std::move(held.request), held.version);
+    if (pending_.empty() && deferred_) {
+        DeferredRequest next = std::move(*deferred_);
+        deferred_.reset();
+        serve(std::move(next.request), next.version);
     }
-    while (canTakeRequest()) {
+    while (canReadRequest()) {
         evbuffer *input = bufferevent_get_input(handle_);
         const std::size_t size = evbuffer_get_contiguous_space(input);
         if (size == 0)
@@ -247,20 +247,20 @@
         evbuffer_drain(input, reader_.feed({bytes, size}));
         handleReaderState();
     }
-    isTaking_ = false;
+    isProcessing_ = false;
     if (isClosed_)
         return;
-    if (hasSeenLast_)
+    if (hasReadLast_)
         discardInput();
     sendContinueIfAwaited();
     updateReading();
 }
 
-void HttpServerConnection::takeRequestsSoon()
+void HttpServerConnection::processInputSoon()
 {
-    const bool isDue = held_ || unreadBytes() > 0 || !isReading_ || reader_.awaitsContinue();
-    if (!isTaking_ && isDue)
-        event_active(takeSoon_, EV_TIMEOUT, 0);
+    const bool isDue = deferred_ || unreadBytes() > 0 || !isReading_ || reader_.awaitsContinue();
+    if (!isProcessing_ && isDue)
+        event_active(processSoon_, EV_TIMEOUT, 0);
 }
 
 void HttpServerConnection::handleReaderState()
@@ -276,35 +276,35 @@
     }
     const HttpVersion version = reader_.version();
     if (!reader_.keepsConnection())
-        hasSeenLast_ = peerClosesToo_ = true;
+        hasReadLast_ = hasPeerAskedToClose_ = true;
     HttpRequest request = reader_.take();
-    if (slots_.empty() || isSafe(request.method))
+    if (pending_.empty() || isSafe(request.method))
         serve(std::move(request), version);
     else
-        held_ = HeldRequest{std::move(request), version};
+        deferred_ = DeferredRequest{std::move(request), version};
 }
 
 void HttpServerConnection::serve(HttpRequest request, HttpVersion version)
 {
     const auto exchange = std::make_shared<HttpExchange>(
             *this, std::exchange(use_, HttpExchange::ConnectionUse::Reused));
-    slots_.push_back({exchange.get(), request.method, version, hasSeenLast_, std::nullopt});
+    pending_.push_back({exchange.get(), request.method, version, hasReadLast_, std::nullopt});
     context_.handler(std::move(request), exchange);
 }
 
 void HttpServerConnection::refuse(int status)
 {
-    hasSeenLast_ = true;
-    Slot slot;
-    slot.isLast = true;
-    slot.response = HttpResponse{status, {}, nullptr};
-    slots_.push_back(std::move(slot));
+    hasReadLast_ = true;
+    PendingResponse error;
+    error.isLast = true;
+    error.response = HttpResponse{status, {}, nullptr};
+    pending_.push_back(std::move(error));
     sendReadyResponses();
 }
 
 void HttpServerConnection::sendContinueIfAwaited()
 {
-    if (hasSentContinue_ || !slots_.empty() || hasSeenLast_ || !reader_.awaitsContinue())
+    if (hasSentContinue_ || !pending_.empty() || hasReadLast_ || !reader_.awaitsContinue())
         return;
     hasSentContinue_ = true;
     constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -313,44 +313,44 @@
 
 void HttpServerConnection::respond(HttpExchange &exchange, const HttpResponse &response)
 {
-    const auto slot = std::ranges::find(slots_, &exchange, &Slot::exchange);
-    if (slot == slots_.end())
+    const auto found = std::ranges::find(pending_, &exchange, &PendingResponse::exchange);
+    if (found == pending_.end())
         return;
-    slot->exchange = nullptr;
-    slot->response = response;
+    found->exchange = nullptr;
+    found->response = response;
     sendReadyResponses();
-    takeRequestsSoon();
+    processInputSoon();
 }
 
 void HttpServerConnection::sendReadyResponses()
 {
-    while (!slots_.empty() && slots_.front().response) {
-        const Slot slot = std::move(slots_.front());
-        slots_.pop_front();
-        const bool isClosing = slot.isLast || (context_.closesAfterResponses && slots_.empty());
-        send(slot, isClosing);
+    while (!pending_.empty() && pending_.front().response) {
+        const PendingResponse next = std::move(pending_.front());
+        pending_.pop_front();
+        const bool isClosing = next.isLast || (context_.closesAfterResponses && pending_.empty());
+        send(next, isClosing);
         if (isClosing) {
-            hasSeenLast_ = isClosingAfterResponses_ = true;
-            held_.reset();
+            hasReadLast_ = isClosingAfterResponses_ = true;
+            deferred_.reset();
         }
     }
-    if (slots_.empty()) {
+    if (pending_.empty()) {
         idleFor_ = Milliseconds(0);
         idleOrder_ = ++context_.lastIdleOrder;
     }
 }
 
-void HttpServerConnection::send(const Slot &slot, bool isClosing)
+void HttpServerConnection::send(const PendingResponse &next, bool isClosing)
 {
     ++unsentResponses_;
-    const std::string head = formatHead(*slot.response, slot.version, isClosing);
+    const std::string head = formatHead(*next.response, next.version, isClosing);
     evbuffer *output = bufferevent_get_output(handle_);
     evbuffer_add(output, head.data(), head.size());
-    const std::string_view body = bytesOf(slot.response->body);
-    if (body.empty() || slot.method == "HEAD" || hasNoBody(slot.response->status))
+    const std::string_view body = bytesOf(next.response->body);
+    if (body.empty() || next.method == "HEAD" || hasNoBody(next.response->status))
         return;
     // The buffer keeps the shared body alive until its bytes are on the wire.
-    auto *owner = new std::shared_ptr<const std::string>(slot.response->body);
+    auto *owner = new std::shared_ptr<const std::string>(next.response->body);
     const auto release = [](const void *, std::size_t, void *argument) {
         delete static_cast<std::shared_ptr<const std::string> *>(argument);
     };
@@ -364,12 +364,12 @@
     if (isClosingAfterResponses_)
         closeAfterLastResponse();
     else
-        takeRequests();
+        processInput();
 }
 
 void HttpServerConnection::closeAfterLastResponse()
 {
-    if (peerClosesToo_) {
+    if (hasPeerAskedToClose_) {
         close();
         return;
     }
@@ -424,7 +424,7 @@
         close();
         return;
     }
-    if (!isReceiving() || reader_.isHeadRead() || !slots_.empty()) {
+    if (!isReceiving() || reader_.isHeadRead() || !pending_.empty()) {
         headFor_ = Milliseconds(0);
         return;
     }
--- a/Libraries/LibHttp/HttpServerConnection.h
+++ b/Libraries/LibHttp/HttpServerConnection.h
@@ -62,7 +62,7 @@
     /// A part of a request has come that the handler has not seen.
     [[nodiscard]] bool isReceiving() const;
     /// Requests that the handler has seen and whose whole response has not been sent.
-    [[nodiscard]] std::size_t unanswered() const { return slots_.size() + unsentResponses_; }
+    [[nodiscard]] std::size_t unanswered() const { return pending_.size() + unsentResponses_; }
 
     /// Lower for a connection that has been idle for longer.
     [[nodiscard]] std::uint64_t idleOrder() const { return idleOrder_; }
@@ -72,31 +72,32 @@
     void checkTimeouts(Milliseconds interval);
 
 private:
-    /// A request that the handler has seen, or an error that stands in the place of one.
-    struct Slot
+    /// A request whose response has not been sent: one that the handler has seen, or one that was
+    /// not readable and is answered with an error.
+    struct PendingResponse
     {
         HttpExchange *exchange = nullptr; ///< Null once it has responded.
         std::string method;
         HttpVersion version = HttpVersion::Http11;
-        bool isLast = false; ///< The peer asked to close after it, or nothing after it is readable.
+        bool isLast = false; ///< The connection closes after the response.
         std::optional<HttpResponse> response;
     };
 
-    struct HeldRequest
+    struct DeferredRequest
     {
         HttpRequest request;
         HttpVersion version = HttpVersion::Http11;
     };
 
-    void takeRequests();
-    void takeRequestsSoon();
-    [[nodiscard]] bool canTakeRequest() const;
+    void processInput();
+    void processInputSoon();
+    [[nodiscard]] bool canReadRequest() const;
     void handleReaderState();
     void serve(HttpRequest request, HttpVersion version);
     void refuse(int status);
     void sendContinueIfAwaited();
     void sendReadyResponses();
-    void send(const Slot &slot, bool isClosing);
+    void send(const PendingResponse &next, bool isClosing);
     void handleSent();
     void closeAfterLastResponse();
     void updateReading();
@@ -108,17 +109,17 @@
     DescriptorLease lease_;
     bufferevent *handle_ = nullptr;
     event *peerClosed_ = nullptr; ///< Armed while the socket is not read.
-    event *takeSoon_ = nullptr;
+    event *processSoon_ = nullptr;
     RequestReader reader_;
-    std::deque<Slot> slots_;
-    std::optional<HeldRequest> held_;      ///< Waits until the requests before it are answered.
-    std::size_t unsentResponses_ = 0;      ///< Of which some bytes are not on the wire.
-    bool isReading_ = true;                ///< Bytes are read from the socket.
-    bool isTaking_ = false;                ///< takeRequests() is running.
-    bool hasSentContinue_ = false;         ///< For the request that is being received.
-    bool hasSeenLast_ = false;             ///< No further request is read.
-    bool peerClosesToo_ = false;           ///< The peer asked to close and sends nothing more.
-    bool isClosingAfterResponses_ = false; ///< The last response is being sent.
+    std::deque<PendingResponse> pending_;
+    std::optional<DeferredRequest> deferred_; ///< Served once the requests before it are answered.
+    std::size_t unsentResponses_ = 0;         ///< Of which some bytes are not on the wire.
+    bool isReading_ = true;                   ///< Bytes are read from the socket.
+    bool isProcessing_ = false;               ///< processInput() is running.
+    bool hasSentContinue_ = false;            ///< For the request that is being received.
+    bool hasReadLast_ = false;                ///< No further request is read.
+    bool hasPeerAskedToClose_ = false;        ///< The peer sends nothing more.
+    bool isClosingAfterResponses_ = false;    ///< The last response is being sent.
     bool isLingering_ = false;
     bool isClosed_ = false;
     HttpExchange::ConnectionUse use_ = HttpExchange::ConnectionUse::First;
--- a/Libraries/LibHttp/RequestReader.cpp
+++ b/Libraries/LibHttp/RequestReader.cpp
@@ -117,11 +117,12 @@
     {
         Parser &self = of(machine);
         self.isHeadRead = true;
-        // The library takes a name with a blank, which hides the framing that it may stand for.
-        const bool hasBlankName = std::ranges::any_of(self.request.headers, [](const Header &one) {
-            return one.first.find(' ') != std::string::npos;
-        });
-        if (hasBlankName || machine->http_major != 1)
+        // http_parser accepts spaces in names, so `Content-Length : 4` would not frame the body.
+        const bool hasNameWithSpace
+                = std::ranges::any_of(self.request.headers, [](const Header &one) {
+                      return one.first.find(' ') != std::string::npos;
+                  });
+        if (hasNameWithSpace || machine->http_major != 1)
             return self.fail(State::Malformed);
         if (!isSupported(machine->method))
             return self.fail(State::Unsupported);
--- a/Libraries/LibHttp/RequestReader.h
+++ b/Libraries/LibHttp/RequestReader.h
@@ -19,7 +19,7 @@
         Reading,      ///< A part has come.
         Complete,     ///< The whole request has come.
         Malformed,    ///< The bytes are no request, or its framing is ambiguous.
-        Unsupported,  ///< The method is not one that servers here know.
+        Unsupported,  ///< The method is not supported.
         HeadTooLarge, ///< The head is longer than allowed.
         BodyTooLarge, ///< The body is longer than allowed.
     };
--- a/Libraries/LibPolicy/Collectors.cpp
+++ b/Libraries/LibPolicy/Collectors.cpp
@@ -13,8 +13,7 @@
 constexpr std::size_t reportsPerSecond = 330;
 /// Several report intervals, so that the shares survive one late summary.
 constexpr Milliseconds summaryLifetime{1'000};
-
-/// A service below this pressure has room.
+/// A target or a service below this pressure has room.
 constexpr double pressureWithRoom = 0.6;
 constexpr int calmReportPeriod = 2;
 /// With the shortest interval, a third of the lifetime of a summary.
@@ -53,14 +52,16 @@
     return std::max(shortestReportInterval, paced);
 }
 
-ReportPeriods reportPeriodsFor(const MeshPressure &mesh)
+ReportPeriods reportPeriodsFor(const MeshPressure &mesh, double ownPressure, std::size_t members)
 {
-    const bool hasRoom = std::ranges::all_of(mesh.services, [](const auto &service) {
-        return service.second.own < pressureWithRoom;
-    });
+    const bool hasRoom = ownPressure < pressureWithRoom
+                         && std::ranges::all_of(mesh.services, [](const auto &service) {
+                                return service.second.own < pressureWithRoom;
+                            });
     const bool isAllAdmitted = std::ranges::all_of(
             mesh.rootShares, [](const auto &share) { return share.second >= 1.0; });
-    if (mesh.services.empty() || !hasRoom || !isAllAdmitted)
+    const bool hasShortInterval = reportIntervalFor(members) == shortestReportInterval;
+    if (mesh.services.empty() || !hasRoom || !isAllAdmitted || !hasShortInterval)
         return {};
     return {calmReportPeriod, calmSummaryPeriod};
 }
--- a/Libraries/LibPolicy/Collectors.h
+++ b/Libraries/LibPolicy/Collectors.h
@@ -32,9 +32,11 @@
     int summary = 1;
 };
 
-/// Returns longer periods while every service has room and everything is admitted, since nothing
-/// depends on the reports then.
-[[nodiscard]] ReportPeriods reportPeriodsFor(const MeshPressure &mesh);
+/// Returns the periods of one of `members` nodes at this pressure of its own target. They are
+/// longer while every service has room and everything is admitted, since nothing depends on the
+/// reports then, but only with the shortest interval, as summaries expire.
+[[nodiscard]] ReportPeriods reportPeriodsFor(const MeshPressure &mesh, double ownPressure,
+                                             std::size_t members);
 
 /// A received summary that could be used.
 struct SummaryCandidate
--- a/Libraries/LibPolicy/Retry.cpp
+++ b/Libraries/LibPolicy/Retry.cpp
@@ -16,7 +16,7 @@
 constexpr double ratioRefillShare = 0.45;
 constexpr std::array<double, 2> ratioLaterShares{0.2, 0.1};
 constexpr double ratioCapacityShare = 0.1;
-/// Requests are counted in so many spans of a window.
+/// Number of spans in a window in which first attempts are counted.
 constexpr int spansOfWindow = 40;
 /// With fewer known members, the membership view is probably incomplete.
 constexpr std::size_t minimumNodes = 10;
@@ -177,7 +177,7 @@
     budget.tokens -= tokens;
 }
 
-bool isTurnedAwayByTarget(const Judged<Answer> &result)
+bool isRejectedByTarget(const Judged<Answer> &result)
 {
     return !result.has_value() && result.error().hasReachedTarget
            && result.error().execution == Execution::NotRun
@@ -200,11 +200,11 @@
         return false;
     if (!hasReachedTarget(*end.result) && !budget.limits.chargesUnreachedAttempts)
         return true;
-    if (!end.isRepeatedOffer && allowance.retries == 0)
+    if (!end.isAtRejectingTarget && allowance.retries == 0)
         return false;
     if (budget.tokens < 1.0 + tokensLeftToOthers(call, budget))
         return false;
-    if (!end.isRepeatedOffer)
+    if (!end.isAtRejectingTarget)
         --allowance.retries;
     budget.tokens -= 1.0;
     return true;
--- a/Libraries/LibPolicy/Retry.h
+++ b/Libraries/LibPolicy/Retry.h
@@ -48,16 +48,16 @@
 /// A token bucket that caps the retries towards one service at a share of the first attempts.
 struct RetryBudget
 {
-    RetryBudgetLimits limits;
-    /// First attempts of a short span, whose later tokens are not all added yet.
+    /// First attempts in a short span of time.
     struct Span
     {
         TimePoint start;
         double attempts = 0.0;
     };
 
+    RetryBudgetLimits limits;
     double tokens = 3.0;
-    /// Oldest first: those that will be added to next for half a window, and for a window.
+    /// Attempts that will add tokens later, the oldest first, by delay as in perFirstAttemptLater.
     std::array<std::deque<Span>, 2> later;
     double recentAttempts = 0.0; ///< Decaying count of the first attempts in about the last window.
     TimePoint lastRefill;
@@ -75,14 +75,14 @@
     const Judged<Answer> *result = nullptr;
     bool failedBelow = false;    ///< The attempt failed because a nested call failed.
     bool hasOtherTarget = false; ///< Another target is available for a retry.
-    /// The next target has turned this call away before. Offering the call there again reaches no
-    /// further target, so it costs no retry of the allowance.
-    bool isRepeatedOffer = false;
+    /// The retry goes to a target that has rejected this call before. It reaches no further target,
+    /// so it costs no retry of the allowance.
+    bool isAtRejectingTarget = false;
     Microseconds expectedLatency{0}; ///< Expected latency of the next attempt.
 };
 
-/// Whether a target turned the call away without running it, for lack of slots or of time.
-[[nodiscard]] bool isTurnedAwayByTarget(const Judged<Answer> &result);
+/// Whether a target rejected the call, without running it, for lack of slots or of time.
+[[nodiscard]] bool isRejectedByTarget(const Judged<Answer> &result);
 
 /// Whether the attempt reached a target or may have reached one.
 [[nodiscard]] bool hasReachedTarget(const Judged<Answer> &result);
--- a/Services/Node/ConfigurationTask.cpp
+++ b/Services/Node/ConfigurationTask.cpp
@@ -25,9 +25,9 @@
 constexpr Milliseconds gossipInterval{250};
 /// Random peers that receive each announcement.
 constexpr std::size_t peersPerRound = 2;
-/// How long a node that hears of a newer version waits for the store to send it the record. Most
-/// nodes get it from there, so that records need not cross the links between data centres too.
-constexpr Milliseconds storeAdvantage{400};
+/// How long a node that hears of a newer version waits for the record from the store. Most nodes
+/// get it from there, which spares the links between data centres.
+constexpr Milliseconds storeGracePeriod{400};
 /// The version in a request for the peer's record.
 constexpr std::uint64_t noVersion = 0;
 constexpr std::string_view storeSource = "store";
@@ -67,6 +67,13 @@
     }
 
 private:
+    /// A peer with an older version.
+    struct LaggingPeer
+    {
+        std::uint64_t version = 0;
+        TimePoint since; ///< Of its first announcement of this version.
+    };
+
     void setMembers(std::shared_ptr<const std::vector<Member>> members)
     {
         members_ = std::move(members);
@@ -127,8 +134,8 @@
             send(frame.peer, {version_, *latestRecord_});
     }
 
-    /// Whether the peer asks for the record, or has not got on by itself since it was first heard
-    /// of with this version.
+    /// Whether the peer asks for the record, or still announces the version that it had at least a
+    /// grace period ago.
     bool shouldSendRecord(const Endpoint &peer, std::uint64_t version)
     {
         if (version == noVersion)
@@ -139,7 +146,7 @@
             lagging = {version, now};
             return false;
         }
-        return now - lagging.since >= storeAdvantage;
+        return now - lagging.since >= storeGracePeriod;
     }
 
     void handleNewerVersion(const Endpoint &peer, std::uint64_t version)
@@ -154,7 +161,7 @@
         newestHeard_ = std::max(newestHeard_, version);
         if (requestTimer_.isActive())
             return;
-        requestTimer_ = kernel_.loop().after(storeAdvantage, [this] {
+        requestTimer_ = kernel_.loop().after(storeGracePeriod, [this] {
             requestTimer_.cancel();
             if (version_ < newestHeard_)
                 send(newestHeardFrom_, {noVersion, {}});
@@ -194,12 +201,6 @@
     std::uint64_t version_ = 0;
     std::string source_ = "none";
     std::shared_ptr<const std::string> latestRecord_ = std::make_shared<const std::string>();
-    /// A peer with an older version.
-    struct LaggingPeer
-    {
-        std::uint64_t version = 0;
-        TimePoint since; ///< When it was first heard of with this version.
-    };
     std::map<Endpoint, LaggingPeer> laggingPeers_;
     std::uint64_t newestHeard_ = 0; ///< The newest version that peers have announced.
     Endpoint newestHeardFrom_;
--- a/Services/Node/LinkTraffic.cpp
+++ b/Services/Node/LinkTraffic.cpp
@@ -20,10 +20,10 @@
 
 void LinkTraffic::setMembers(const std::vector<Member> &members)
 {
-    places_.clear();
+    locations_.clear();
     for (const Member &member : members)
-        places_.emplace(member.links,
-                        member.dataCentre == dataCentre_ ? Place::Same : Place::Other);
+        locations_.emplace(member.links,
+                           member.dataCentre == dataCentre_ ? Location::Same : Location::Other);
 }
 
 void LinkTraffic::noteSent(const Endpoint &peer, LinkClass linkClass, Topic topic,
@@ -41,13 +41,13 @@
 void LinkTraffic::note(const Endpoint &peer, LinkClass linkClass, Direction direction, Topic topic,
                        std::size_t bytes)
 {
-    const Place place = placeOf(peer);
-    prometheus::Counter *&counter = counters_[{linkClass, direction, purposeOf(topic), place}];
+    const Location location = locationOf(peer);
+    prometheus::Counter *&counter = counters_[{linkClass, direction, purposeOf(topic), location}];
     if (counter == nullptr) {
         counter = &family_.Add({{"class", std::string(chive::nameOf(linkClass))},
                                 {"direction", direction == Direction::Sent ? "sent" : "received"},
                                 {"purpose", std::string(purposeOf(topic))},
-                                {"data_centre", std::string(nameOf(place))}});
+                                {"data_centre", std::string(nameOf(location))}});
     }
     counter->Increment(static_cast<double>(bytes));
 }
@@ -56,8 +56,8 @@
 {
     std::map<std::string_view, double> byPurpose;
     for (const auto &[key, counter] : counters_) {
-        const auto &[linkClass, direction, purpose, place] = key;
-        if (direction == Direction::Sent && place == Place::Other)
+        const auto &[linkClass, direction, purpose, location] = key;
+        if (direction == Direction::Sent && location == Location::Other)
             byPurpose[purpose] += counter->Value();
     }
     std::string text;
@@ -67,23 +67,23 @@
     LOG(INFO) << "task=link event=sent-to-other-data-centres" << text;
 }
 
-std::string_view LinkTraffic::nameOf(Place place)
+std::string_view LinkTraffic::nameOf(Location location)
 {
-    switch (place) {
-    case Place::Same:
+    switch (location) {
+    case Location::Same:
         return "same";
-    case Place::Other:
+    case Location::Other:
         return "other";
-    case Place::Unknown:
+    case Location::Unknown:
         break;
     }
     return "unknown";
 }
 
-LinkTraffic::Place LinkTraffic::placeOf(const Endpoint &peer) const
+LinkTraffic::Location LinkTraffic::locationOf(const Endpoint &peer) const
 {
-    const auto found = places_.find(peer);
-    return found == places_.end() ? Place::Unknown : found->second;
+    const auto found = locations_.find(peer);
+    return found == locations_.end() ? Location::Unknown : found->second;
 }
 
 } // namespace chive
--- a/Services/Node/LinkTraffic.h
+++ b/Services/Node/LinkTraffic.h
@@ -35,23 +35,23 @@
         Sent,
         Received,
     };
-    enum class Place : std::uint8_t {
+    enum class Location : std::uint8_t {
         Same, ///< The same data centre.
         Other,
         Unknown, ///< The peer is not a member yet.
     };
     /// The purpose is from purposeOf().
-    using Key = std::tuple<LinkClass, Direction, std::string_view, Place>;
+    using Key = std::tuple<LinkClass, Direction, std::string_view, Location>;
 
-    static std::string_view nameOf(Place place);
+    static std::string_view nameOf(Location location);
 
     void note(const Endpoint &peer, LinkClass linkClass, Direction direction, Topic topic,
               std::size_t bytes);
-    [[nodiscard]] Place placeOf(const Endpoint &peer) const;
+    [[nodiscard]] Location locationOf(const Endpoint &peer) const;
 
     prometheus::Family<prometheus::Counter> &family_;
     std::string dataCentre_;
-    std::map<Endpoint, Place> places_;
+    std::map<Endpoint, Location> locations_;
     std::map<Key, prometheus::Counter *> counters_;
 };
 
--- a/Services/Node/PressureTask.cpp
+++ b/Services/Node/PressureTask.cpp
@@ -26,8 +26,6 @@
 constexpr int idleReportPeriod = 5;
 /// A target below this pressure is idle.
 constexpr double idlePressure = 0.3;
-/// A target from this pressure on is reported in each interval.
-constexpr double pressureOfLoad = 0.6;
 /// A kind is reported as entering at this node for this long after a request.
 constexpr Milliseconds enteredKindLifetime{5'000};
 
@@ -138,7 +136,7 @@
             return now - entry.second.at > enteredKindLifetime;
         });
         smoothedPressure_ += smoothingFactor * (latestTargetPressure_.pressure - smoothedPressure_);
-        const ReportPeriods periods = reportPeriodsNow();
+        const ReportPeriods periods = reportPeriodsFor(*mesh_, smoothedPressure_, members_->size());
         if (++intervalsSinceReport_ >= periods.report && isReportDue()) {
             intervalsSinceReport_ = 0;
             sendReport(now);
@@ -151,14 +149,6 @@
         publish(now);
     }
 
-    /// Slower reports need the short interval: the interval of a large mesh is long already.
-    [[nodiscard]] ReportPeriods reportPeriodsNow() const
-    {
-        const bool isLoaded = smoothedPressure_ >= pressureOfLoad
-                              || reportIntervalFor(members_->size()) > shortestReportInterval;
-        return isLoaded ? ReportPeriods{} : reportPeriodsFor(*mesh_);
-    }
-
     bool isReportDue()
     {
         if (!rootCounts_.empty() || !work_.empty())
--- a/Services/Node/RouterTask.cpp
+++ b/Services/Node/RouterTask.cpp
@@ -26,8 +26,8 @@
 constexpr Milliseconds verdictGrace{50};
 
 constexpr Milliseconds shedRetryAfter{500};
-/// Before a call is offered again to targets that turned it away.
-constexpr Milliseconds repeatedOfferDelay{15};
+/// Before a call is sent again to targets that rejected it.
+constexpr Milliseconds rejectedRetryDelay{15};
 
 Verdict shedVerdict()
 {
@@ -105,7 +105,7 @@
         bool mayHaveRun = false; ///< An earlier attempt may have run.
         TargetChooser::Attempts attempts;
         Timer deadlineTimer;
-        Timer offerTimer; ///< While the call waits to be offered again.
+        Timer retryTimer; ///< While the call waits to be sent again.
     };
 
     /// One attempt to run a call on one target.
@@ -228,7 +228,7 @@
                 *routed.call,
                 {attempt.nodeId, attempt.sentAt, &outcome, report == LoadReport::Present},
                 kernel_.clock().now());
-        if (isTurnedAwayByTarget(outcome.result))
+        if (isRejectedByTarget(outcome.result))
             routed.attempts.rejecting.insert(attempt.nodeId);
         retryOrFinish(attempt.callToken, outcome);
     }
@@ -249,19 +249,19 @@
         case TargetChooser::RetryPlan::OtherTarget:
             tryNext(token, otherwise);
             return;
-        case TargetChooser::RetryPlan::OfferAgain:
-            offerAgain(token, otherwise);
+        case TargetChooser::RetryPlan::RejectingTargets:
+            retryRejectingTargets(token, otherwise);
             return;
         }
     }
 
-    void offerAgain(Token token, const Verdict &otherwise)
+    void retryRejectingTargets(Token token, const Verdict &otherwise)
     {
         RoutedCall &routed = routedCalls_.at(token);
         for (const std::string &nodeId : std::exchange(routed.attempts.rejecting, {}))
             routed.attempts.excluded.erase(nodeId);
-        routed.offerTimer = kernel_.loop().after(
-                repeatedOfferDelay, [this, token, otherwise] { tryNext(token, otherwise); });
+        routed.retryTimer = kernel_.loop().after(
+                rejectedRetryDelay, [this, token, otherwise] { tryNext(token, otherwise); });
     }
 
     void handlePeerLost(const PeerLost &lost)
--- a/Services/Node/StoreTask.cpp
+++ b/Services/Node/StoreTask.cpp
@@ -33,8 +33,8 @@
 /// other.
 constexpr Milliseconds directoryReadInterval{1'000};
 constexpr std::size_t firstDirectoryReads = 3;
-/// Interval between later reads. A new node finds those before it in the directory and is known to
-/// all of them through their membership messages.
+/// Interval between later reads. A new node reads the directory itself, and the nodes listed there
+/// learn of it from its membership messages.
 constexpr Milliseconds laterDirectoryReadInterval{10'000};
 
 /// The node's only client of the store. For each followed topic it reads the newest values, then
@@ -85,7 +85,7 @@
         std::uint64_t lastCall = 0; ///< Number of the topic's newest call; others are abandoned.
         HttpClient::RequestId request = 0;
         std::vector<StoreEntry> pageEntries;
-        std::size_t reads = 0; ///< Successful ones since the start.
+        std::size_t reads = 0; ///< Successful reads since the start.
         Milliseconds retryDelay = firstRetryDelay;
         Timer timer;
     };
--- a/Services/Node/TargetChooser.cpp
+++ b/Services/Node/TargetChooser.cpp
@@ -10,9 +10,9 @@
 
 /// Attempts for one call. A target that refuses the call costs little but time.
 constexpr std::size_t maximumAttempts = 4;
-/// Attempts for one call that targets turn away without running it. Giving it up would waste what
-/// has run above it in its tree.
-constexpr std::size_t maximumOffers = 8;
+/// Attempts for one call that targets reject without running it. Giving it up would waste what has
+/// run above it in its tree.
+constexpr std::size_t maximumRejectedAttempts = 8;
 /// Estimated number of nested calls that a repeated call repeats towards each downstream service.
 constexpr double repeatedCallsPerService = 5.0;
 
@@ -115,8 +115,8 @@
                                                   const Attempts &attempts, Allowance &left,
                                                   TimePoint now)
 {
-    const bool isTurnedAway = isTurnedAwayByTarget(outcome.result);
-    if (attempts.count >= (isTurnedAway ? maximumOffers : maximumAttempts))
+    const bool isRejected = isRejectedByTarget(outcome.result);
+    if (attempts.count >= (isRejected ? maximumRejectedAttempts : maximumAttempts))
         return RetryPlan::None;
     const bool mayHaveRun
             = outcome.result.has_value() || outcome.result.error().execution != Execution::NotRun;
@@ -126,18 +126,18 @@
     });
     if (!allowsNestedRepeats)
         return RetryPlan::None;
+    auto others = usableMembersOf(call.service, attempts.excluded);
+    auto rejecting = usableMembersOf(call.service, {});
+    std::erase_if(rejecting, [&](const Member *member) {
+        return !attempts.rejecting.contains(member->nodeId);
+    });
     RetryPlan plan = RetryPlan::None;
-    if (takeRetryAt(call, outcome, usableMembersOf(call.service, attempts.excluded), false, left,
-                    now)) {
+    if (takeRetryAt(std::move(others), RetryPlan::OtherTarget, call, outcome, left, now))
         plan = RetryPlan::OtherTarget;
-    } else if (isTurnedAway) {
-        auto rejecting = usableMembersOf(call.service, {});
-        std::erase_if(rejecting, [&](const Member *member) {
-            return !attempts.rejecting.contains(member->nodeId);
-        });
-        if (takeRetryAt(call, outcome, std::move(rejecting), true, left, now))
-            plan = RetryPlan::OfferAgain;
-    }
+    else if (isRejected
+             && takeRetryAt(std::move(rejecting), RetryPlan::RejectingTargets, call, outcome, left,
+                            now))
+        plan = RetryPlan::RejectingTargets;
     if (plan != RetryPlan::None) {
         for (RetryBudget *budget : nested)
             takeTokens(*budget, repeatedCallsPerService);
@@ -145,9 +145,9 @@
     return plan;
 }
 
-bool TargetChooser::takeRetryAt(const Call &call, const CallOutcome &outcome,
-                                std::vector<const Member *> targets, bool isRepeatedOffer,
-                                Allowance &left, TimePoint now)
+bool TargetChooser::takeRetryAt(std::vector<const Member *> targets, RetryPlan plan,
+                                const Call &call, const CallOutcome &outcome, Allowance &left,
+                                TimePoint now)
 {
     ServiceState &service = services_[call.service];
     // Under overload the budget must not be spent on calls that the next target would refuse too.
@@ -162,7 +162,7 @@
     end.result = &outcome.result;
     end.failedBelow = outcome.failedBelow;
     end.hasOtherTarget = !targets.empty();
-    end.isRepeatedOffer = isRepeatedOffer;
+    end.isAtRejectingTarget = plan == RetryPlan::RejectingTargets;
     std::optional<Microseconds> shortest;
     for (const Member *member : targets) {
         const Microseconds latency = expectedLatency(service.choice, member->nodeId);
--- a/Services/Node/TargetChooser.h
+++ b/Services/Node/TargetChooser.h
@@ -26,7 +26,7 @@
     {
         std::size_t count = 0;
         std::set<std::string> excluded; ///< Ids of nodes that do not get the next attempt.
-        /// Ids of those of them whose targets turned the call away. It may be offered there again.
+        /// Ids of those of them whose targets rejected the call. It may be sent there again.
         std::set<std::string> rejecting;
     };
 
@@ -69,7 +69,7 @@
     enum class RetryPlan : std::uint8_t {
         None,
         OtherTarget,
-        OfferAgain, ///< To the targets that turned the call away, after a pause.
+        RejectingTargets, ///< Those that have rejected the call, after a pause.
     };
 
     /// Whether and where to retry. A retry is taken from the service's budget and, at another
@@ -89,10 +89,11 @@
         RetryBudget budget;
     };
 
-    /// Takes a retry at one of the targets; false if there is none or it is not allowed.
-    [[nodiscard]] bool takeRetryAt(const Call &call, const CallOutcome &outcome,
-                                   std::vector<const Member *> targets, bool isRepeatedOffer,
-                                   Allowance &left, TimePoint now);
+    /// Takes a retry at one of the targets, which are those of the plan; false if there is none or
+    /// it is not allowed.
+    [[nodiscard]] bool takeRetryAt(std::vector<const Member *> targets, RetryPlan plan,
+                                   const Call &call, const CallOutcome &outcome, Allowance &left,
+                                   TimePoint now);
 
     /// The budgets of the downstream services, which a repeated call also draws on. Empty if no
     /// retry bound is set.
--- a/Tests/LibPolicy/TestRootAdmission.cpp
+++ b/Tests/LibPolicy/TestRootAdmission.cpp
@@ -308,22 +308,31 @@
     SUBCASE("reports are fewer only while every service has room and everything is admitted")
     {
         MeshPressure mesh;
-        CHECK(reportPeriodsFor(mesh).report == 1);
+        CHECK(reportPeriodsFor(mesh, 0.3, 15).report == 1);
         mesh.services["front"].own = 0.3;
         mesh.rootShares["browse"] = 1.0;
-        CHECK(reportPeriodsFor(mesh).report == 2);
-        CHECK(reportPeriodsFor(mesh).summary == 3);
+        CHECK(reportPeriodsFor(mesh, 0.3, 15).report == 2);
+        CHECK(reportPeriodsFor(mesh, 0.3, 15).summary == 3);
         SUBCASE("not with a service that fills up")
         {
             mesh.services["deep"].own = 0.7;
-            CHECK(reportPeriodsFor(mesh).report == 1);
-            CHECK(reportPeriodsFor(mesh).summary == 1);
+            CHECK(reportPeriodsFor(mesh, 0.3, 15).report == 1);
+            CHECK(reportPeriodsFor(mesh, 0.3, 15).summary == 1);
+        }
+        SUBCASE("not at a target that fills up")
+        {
+            CHECK(reportPeriodsFor(mesh, 0.7, 15).report == 1);
+        }
+        SUBCASE("not in a mesh whose report interval is long already")
+        {
+            CHECK(reportPeriodsFor(mesh, 0.3, 300).report == 1);
+            CHECK(reportPeriodsFor(mesh, 0.3, 300).summary == 1);
         }
         SUBCASE("not with a kind that is limited")
         {
             mesh.rootShares["browse"] = 0.9;
-            CHECK(reportPeriodsFor(mesh).report == 1);
-            CHECK(reportPeriodsFor(mesh).summary == 1);
+            CHECK(reportPeriodsFor(mesh, 0.3, 15).report == 1);
+            CHECK(reportPeriodsFor(mesh, 0.3, 15).summary == 1);
         }
     }
     SUBCASE("the recent summary made from the most reports is selected")
--- a/Tests/LibPolicy/TestScarceRetries.cpp
+++ b/Tests/LibPolicy/TestScarceRetries.cpp
@@ -28,7 +28,7 @@
     std::string name;
     Importance importance = Importance::Normal;
     double perSecond = 0.0;
-    double worth = 1.0;
+    double value = 1.0;
 };
 
 struct Totals
@@ -39,27 +39,27 @@
     [[nodiscard]] double completedShare() const { return completed / offered; }
 };
 
-/// What a call that was turned away may do.
+/// How a call that was rejected is retried.
 enum class Policy {
-    /// It is offered to each target once, with tokens that the calls of the moment add.
+    /// At each target once, with tokens that the current calls add.
     EachTargetOnce,
-    /// It is offered again with the tokens that sharedLimits() sets.
-    OfferedAgain,
+    /// Also at targets that rejected it, with the tokens that sharedLimits() sets.
+    RejectingTargetsToo,
 };
 
 /// Call trees of several kinds that all call one leaf on three targets, which have free slots and
-/// turn a share of the calls away. A tree breaks off where a call is given up. Three nodes make the
+/// reject a share of the calls. A tree breaks off where a call is given up. Three nodes make the
 /// calls.
 class SharedLeaf
 {
 public:
     SharedLeaf(Policy policy, unsigned seed)
-        : mostOffers_(policy == Policy::EachTargetOnce ? 3 : 8)
+        : mostAttempts_(policy == Policy::EachTargetOnce ? 3 : 8)
         , random_(seed)
     {
         for (RetryBudget &budget : budgets_) {
             budget.limits = sharedLimits(retryRatio, retryConstant, retryWindow, nodes);
-            if (policy == Policy::OfferedAgain)
+            if (policy == Policy::RejectingTargetsToo)
                 continue;
             budget.limits.perFirstAttempt = 0.65 * retryRatio;
             budget.limits.perFirstAttemptLater = {0.0, 0.0};
@@ -78,11 +78,11 @@
     void resetTotals() { totals_.clear(); }
     [[nodiscard]] const Totals &of(const std::string &kind) { return totals_[kind]; }
 
-    [[nodiscard]] double worth(const std::vector<KindOfRoot> &kinds)
+    [[nodiscard]] double value(const std::vector<KindOfRoot> &kinds)
     {
         double sum = 0.0;
         for (const KindOfRoot &kind : kinds)
-            sum += kind.worth * totals_[kind.name].completed;
+            sum += kind.value * totals_[kind.name].completed;
         return sum;
     }
 
@@ -94,7 +94,7 @@
         std::size_t node = 0;
         int ticksLeft = ticksAbove;
         int callsLeft = callsOfTree;
-        int offers = 0; ///< Of the call that is out.
+        int attempts = 0; ///< Of the call that is out.
     };
 
     double random() { return std::uniform_real_distribution<double>(0.0, 1.0)(random_); }
@@ -115,18 +115,18 @@
             --tree.ticksLeft;
             return true;
         }
-        if (tree.offers++ == 0)
+        if (tree.attempts++ == 0)
             noteFirstAttempt(budgets_[tree.node], now_);
         if (random() >= acceptedShare)
-            return tree.offers < mostOffers_ && mayOfferAgain(tree);
-        tree.offers = 0;
+            return tree.attempts < mostAttempts_ && mayRetry(tree);
+        tree.attempts = 0;
         if (--tree.callsLeft > 0)
             return true;
         totals_[tree.kind.name].completed += 1.0;
         return false;
     }
 
-    bool mayOfferAgain(const Tree &tree)
+    bool mayRetry(const Tree &tree)
     {
         Call call;
         call.importance = tree.kind.importance;
@@ -139,12 +139,12 @@
         AttemptOutcome end;
         end.result = &result;
         end.hasOtherTarget = true;
-        end.isRepeatedOffer = true;
+        end.isAtRejectingTarget = true;
         Allowance allowance;
         return takeRetry(call, end, allowance, budgets_[tree.node], now_);
     }
 
-    int mostOffers_;
+    int mostAttempts_;
     std::mt19937 random_;
     std::array<RetryBudget, 3> budgets_;
     std::map<std::string, double> due_;
@@ -153,54 +153,54 @@
     TimePoint now_{std::chrono::hours(1)};
 };
 
-/// The crest of a burst of 1.7: bookings and lookups that all lead to the gate.
-const std::vector<KindOfRoot> crest{
-        {"booking", Importance::Critical, 120.0, 3.0},
+/// Two kinds that lead to the leaf, more than the retry bound can complete while it rejects calls.
+const std::vector<KindOfRoot> surge{
+        {"order", Importance::Critical, 120.0, 3.0},
         {"browse", Importance::Normal, 320.0, 1.0},
 };
 constexpr double acceptedInFault = 0.45;
 
 } // namespace
 
-TEST_CASE("Roots at 1.7 times the usual rate while their common leaf turns 55 of 100 calls away")
+TEST_CASE("Call trees whose common leaf rejects 55 of 100 calls")
 {
     for (unsigned seed = 1; seed <= 5; ++seed) {
         CAPTURE(seed);
         SharedLeaf before(Policy::EachTargetOnce, seed);
-        SharedLeaf now(Policy::OfferedAgain, seed);
+        SharedLeaf now(Policy::RejectingTargetsToo, seed);
         for (SharedLeaf *mesh : {&before, &now})
-            mesh->runFor(20.0, crest, 1.0);
+            mesh->runFor(20.0, surge, 1.0);
 
         // Trees that began before the fault end in its first second.
         for (SharedLeaf *mesh : {&before, &now}) {
-            mesh->runFor(1.0, crest, acceptedInFault);
+            mesh->runFor(1.0, surge, acceptedInFault);
             mesh->resetTotals();
-            mesh->runFor(7.5, crest, acceptedInFault);
+            mesh->runFor(7.5, surge, acceptedInFault);
         }
-        MESSAGE("worth before ", before.worth(crest), " now ", now.worth(crest), " bookings ",
-                before.of("booking").completed, " ", now.of("booking").completed, " of ",
-                now.of("booking").offered, " browse ", before.of("browse").completed, " ",
+        MESSAGE("value before ", before.value(surge), " now ", now.value(surge), " orders ",
+                before.of("order").completed, " ", now.of("order").completed, " of ",
+                now.of("order").offered, " browse ", before.of("browse").completed, " ",
                 now.of("browse").completed);
 
         // Callers get more in the fault, the important kind first.
-        CHECK(now.worth(crest) > before.worth(crest));
-        CHECK(now.of("booking").completedShare() >= now.of("browse").completedShare());
+        CHECK(now.value(surge) > before.value(surge));
+        CHECK(now.of("order").completedShare() >= now.of("browse").completedShare());
 
         // Nothing breaks off once it is over.
-        now.runFor(1.0, crest, 1.0);
+        now.runFor(1.0, surge, 1.0);
         now.resetTotals();
-        now.runFor(2.0, crest, 1.0);
-        for (const KindOfRoot &kind : crest)
+        now.runFor(2.0, surge, 1.0);
+        for (const KindOfRoot &kind : surge)
             CHECK(now.of(kind.name).completedShare() >= 0.95);
     }
 }
 
-TEST_CASE("A leaf that turns a tenth of the calls away breaks no tree off")
+TEST_CASE("A leaf that rejects a tenth of the calls breaks no tree off")
 {
-    SharedLeaf mesh(Policy::OfferedAgain, 1);
-    mesh.runFor(20.0, crest, 1.0);
+    SharedLeaf mesh(Policy::RejectingTargetsToo, 1);
+    mesh.runFor(20.0, surge, 1.0);
     mesh.resetTotals();
-    mesh.runFor(10.0, crest, 0.9);
-    for (const KindOfRoot &kind : crest)
+    mesh.runFor(10.0, surge, 0.9);
+    for (const KindOfRoot &kind : surge)
         CHECK(mesh.of(kind.name).completedShare() >= 0.95);
 }
--- a/Tests/Platform/TestRestoredStore.cpp
+++ b/Tests/Platform/TestRestoredStore.cpp
@@ -184,8 +184,8 @@
             node.wait(Milliseconds(250));
         }
     };
-    constexpr std::size_t mostEarlyCalls
-            = 5; // One read of all, three early changes, one that waits.
+    /// One read of all entries, three early reads of changes, and one that waits.
+    constexpr std::size_t mostEarlyCalls = 5;
 
     SUBCASE("that knows others, which tell it of new nodes")
     {
