--- a/Tests/Platform/TestConfiguration.cpp
+++ b/Tests/Platform/TestConfiguration.cpp
@@ -10,7 +10,7 @@
 
 const std::string record
         = R"({"version":7,"services":[{"name":"s1","healthPath":"/health","maxConns":
-1606},{"name":"s2","healthPath":"/health","maxConns":580}],"limits":{"idleTimeoutS":15},
+1606},{"name":"s2","healthPath":"/health","maxConns":580}],"limits":{"idleTimeoutS":15,"headerTimeoutS":4.5},
 "virtualHosts":[{"host":"a.example","routePaths":[
 {"name":"r1","pathPrefix":"/x/","kind":"safe","timeoutS":6,"targetLatencyS":1.5,"priority":2,
 "trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"maxAttempts":2},
@@ -32,6 +32,7 @@
     REQUIRE(catalogue.has_value());
     CHECK(catalogue.value().version == 7);
     CHECK(catalogue.value().idleTimeout == Milliseconds(15'000));
+    CHECK(catalogue.value().headTimeout == Milliseconds(4'500));
 
     SUBCASE("the longest prefix of the host decides")
     {
