Node: Log what decides whether a departed target is used again

The log named the target that deregistered, but not whether the node held it, nor what became of requests under way.

Departures now say whether the target is held and how many requests are unsent, ended leases whether it was leaving, and ignored announcements which start they are of and which is held. No decision changes.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -407,6 +407,12 @@
     finish(active, HttpFailure{stage, "cancelled"}, false);
 }
 
+std::size_t HttpClient::unsent() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+            active_, [](const auto &entry) { return entry.second->connection->bytesSent == 0; }));
+}
+
 void HttpClient::keepIdle(std::unique_ptr<Connection> connection)
 {
     connection->idleFor = Milliseconds(0);
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -104,6 +104,9 @@
 
     [[nodiscard]] std::size_t inFlight() const { return active_.size(); }
 
+    /// Requests in flight of which no byte has left yet, such as while their connection opens.
+    [[nodiscard]] std::size_t unsent() const;
+
 private:
     struct Connection;
     struct Active;
--- a/Services/Node/LocalTarget.cpp
+++ b/Services/Node/LocalTarget.cpp
@@ -106,7 +106,11 @@
     const auto order = isKnown ? orderOf(announcement_, announcement) : AnnouncementOrder::NewStart;
     if (order == AnnouncementOrder::Stale) {
         LOG_EVERY_N(INFO, 10) << "task=target event=stale-announcement id=" << announcement.targetId
-                              << " sequence=" << announcement.sequence;
+                              << " draining=" << announcement.isDraining
+                              << " started_at=" << announcement.startedAt
+                              << " sequence=" << announcement.sequence
+                              << " held_started_at=" << announcement_.startedAt
+                              << " held_sequence=" << announcement_.sequence;
         return;
     }
     announcedAt_ = kernel_.clock().now();
@@ -128,8 +132,13 @@
 
 void LocalTarget::applyDeparture(const std::string &targetId)
 {
-    LOG(INFO) << "task=target event=departure id=" << targetId;
-    if (client_ == nullptr || announcement_.targetId != targetId)
+    const bool isHeld = client_ != nullptr && announcement_.targetId == targetId;
+    LOG(INFO) << "task=target event=departure id=" << targetId << " held=" << isHeld
+              << " draining=" << (isHeld && announcement_.isDraining)
+              << " sequence=" << (isHeld ? announcement_.sequence : 0)
+              << " in_flight=" << (client_ == nullptr ? 0 : client_->inFlight())
+              << " unsent=" << (client_ == nullptr ? 0 : client_->unsent());
+    if (!isHeld)
         return;
     announcement_.isDraining = true;
     // A delayed announcement of the same run must not bring the target back.
@@ -142,7 +151,8 @@
     LOG(INFO) << "task=target event=announced id=" << announcement.targetId
               << " service=" << announcement.service
               << " endpoint=" << format(announcement.endpoint) << " slots=" << announcement.slots
-              << " draining=" << announcement.isDraining << " sequence=" << announcement.sequence;
+              << " draining=" << announcement.isDraining << " started_at=" << announcement.startedAt
+              << " sequence=" << announcement.sequence;
     announcement_ = announcement;
 }
 
@@ -174,7 +184,8 @@
     if (client_->inFlight() > 0)
         return;
     LOG(WARNING) << "task=target event=lease-expired id=" << announcement_.targetId
-                 << " service=" << announcement_.service;
+                 << " service=" << announcement_.service
+                 << " draining=" << announcement_.isDraining;
     client_.reset();
     kernel_.bus().post(LocalTargetChanged{});
     onChanged_();
