LibNode, Node: Keep the order of a target's words beyond its lease

Callers got requests passed on to a target after its node had acknowledged that it leaves, once the node had heard nothing of it for its lease.

Cause: LocalTarget forgot the held announcement with the lease, and with it that the start had left. The next heartbeat, sent before the departure and late, was taken for that of a new start. A departure that came after the lease changed nothing for the same reason.

TargetRecord keeps the start that was held last. Its lease decides whether it is used, its sequence whether a word is late. Another start is taken as before. The decisions are pure and tested without a network (TestTargetRecord).

--- a/Services/Node/LocalTarget.cpp
+++ b/Services/Node/LocalTarget.cpp
@@ -9,7 +9,6 @@
 #include <glog/logging.h>
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace chive {
@@ -79,9 +78,9 @@
     }
     const Announcement &announcement = read.value();
     if (announcement.isDeparture) {
-        applyDeparture(announcement.targetId);
+        depart(announcement.targetId);
     } else if (isOwnTarget(announcement)) {
-        applyAnnouncement(announcement);
+        accept(announcement);
     } else {
         LOG_EVERY_N(WARNING, 10) << "task=target event=announcement-refused id="
                                  << announcement.targetId << " service=" << announcement.service
@@ -100,67 +99,63 @@
     return isService && (!settings.target || announcement.endpoint == *settings.target);
 }
 
-void LocalTarget::applyAnnouncement(const Announcement &announcement)
+void LocalTarget::accept(const Announcement &announcement)
 {
-    const bool isKnown = client_ != nullptr;
-    const auto order = isKnown ? orderOf(announcement_, announcement) : AnnouncementOrder::NewStart;
-    if (order == AnnouncementOrder::Stale) {
-        LOG_EVERY_N(INFO, 10) << "task=target event=stale-announcement id=" << announcement.targetId
-                              << " draining=" << announcement.isDraining
-                              << " started_at=" << announcement.startedAt
-                              << " sequence=" << announcement.sequence
-                              << " held_started_at=" << announcement_.startedAt
-                              << " held_sequence=" << announcement_.sequence;
+    switch (applyAnnouncement(record_, announcement, kernel_.clock().now())) {
+    case AnnouncementEffect::None:
+        logIgnored(announcement);
         return;
-    }
-    announcedAt_ = kernel_.clock().now();
-    if (order == AnnouncementOrder::NewStart) {
-        setAnnouncement(announcement);
-        startClient();
-        publishChange();
+    case AnnouncementEffect::Refreshed:
         return;
+    case AnnouncementEffect::Begun:
+        startClient();
+        break;
+    case AnnouncementEffect::Changed:
+        break;
     }
-    const bool hasChanged = announcement.slots != announcement_.slots
-                            || announcement.isDraining != announcement_.isDraining
-                            || announcement.service != announcement_.service;
-    if (hasChanged)
-        setAnnouncement(announcement);
-    announcement_ = announcement;
-    if (hasChanged)
-        publishChange();
+    logHeld();
+    publishChange();
 }
 
-void LocalTarget::applyDeparture(const std::string &targetId)
+void LocalTarget::depart(const std::string &targetId)
 {
-    const bool isHeld = client_ != nullptr && announcement_.targetId == targetId;
+    const bool isHeld = applyDeparture(record_, targetId);
     LOG(INFO) << "task=target event=departure id=" << targetId << " held=" << isHeld
-              << " draining=" << (isHeld && announcement_.isDraining)
-              << " sequence=" << (isHeld ? announcement_.sequence : 0)
               << " in_flight=" << (client_ == nullptr ? 0 : client_->inFlight())
               << " unsent=" << (client_ == nullptr ? 0 : client_->unsent());
-    if (!isHeld)
-        return;
-    announcement_.isDraining = true;
-    // A delayed announcement of the same run must not bring the target back.
-    announcement_.sequence = std::numeric_limits<std::uint64_t>::max();
-    publishChange();
+    if (isHeld && isPresent())
+        publishChange();
+}
+
+void LocalTarget::logHeld() const
+{
+    LOG(INFO) << "task=target event=announced id=" << held().targetId
+              << " service=" << held().service << " endpoint=" << format(held().endpoint)
+              << " slots=" << held().slots << " draining=" << held().isDraining
+              << " started_at=" << held().startedAt << " sequence=" << held().sequence;
 }
 
-void LocalTarget::setAnnouncement(const Announcement &announcement)
+void LocalTarget::logIgnored(const Announcement &announcement) const
 {
-    LOG(INFO) << "task=target event=announced id=" << announcement.targetId
-              << " service=" << announcement.service
-              << " endpoint=" << format(announcement.endpoint) << " slots=" << announcement.slots
-              << " draining=" << announcement.isDraining << " started_at=" << announcement.startedAt
-              << " sequence=" << announcement.sequence;
-    announcement_ = announcement;
+    LOG_EVERY_N(INFO, 10) << "task=target event=stale-announcement id=" << announcement.targetId
+                          << " draining=" << announcement.isDraining
+                          << " started_at=" << announcement.startedAt
+                          << " sequence=" << announcement.sequence
+                          << " held_started_at=" << held().startedAt
+                          << " held_sequence=" << held().sequence;
+}
+
+const Announcement &LocalTarget::held() const
+{
+    static const Announcement none;
+    return record_.held ? *record_.held : none;
 }
 
 void LocalTarget::startClient()
 {
     if (client_ != nullptr && client_->inFlight() > 0)
         retiredClients_.push_back(std::move(client_));
-    client_ = std::make_unique<HttpClient>(kernel_.loop(), announcement_.endpoint,
+    client_ = std::make_unique<HttpClient>(kernel_.loop(), held().endpoint,
                                            kernel_.settings().maximumBodySize);
     client_->countIn(kernel_.descriptors().target);
     client_->limitBytesHeld(kernel_.settings().maximumBytesHeld);
@@ -168,24 +163,19 @@
 
 void LocalTarget::publishChange()
 {
-    kernel_.bus().post(LocalTargetChanged{announcement_.service, announcement_.endpoint,
-                                          announcement_.slots, announcement_.isDraining});
+    kernel_.bus().post(
+            LocalTargetChanged{held().service, held().endpoint, held().slots, held().isDraining});
     onChanged_();
 }
 
 void LocalTarget::checkLease()
 {
     std::erase_if(retiredClients_, [](const auto &client) { return client->inFlight() == 0; });
-    const bool isSilent = kernel_.clock().now() - announcedAt_ >= kernel_.settings().targetLease;
-    if (client_ == nullptr || !isSilent)
-        return;
-    // Requests in flight keep their connections, as a target that only stopped announcing can still
-    // finish them.
-    if (client_->inFlight() > 0)
+    const bool hasInFlight = client_ != nullptr && client_->inFlight() > 0;
+    if (!endLease(record_, kernel_.settings().targetLease, kernel_.clock().now(), hasInFlight))
         return;
-    LOG(WARNING) << "task=target event=lease-expired id=" << announcement_.targetId
-                 << " service=" << announcement_.service
-                 << " draining=" << announcement_.isDraining;
+    LOG(WARNING) << "task=target event=lease-expired id=" << held().targetId
+                 << " service=" << held().service << " draining=" << held().isDraining;
     client_.reset();
     kernel_.bus().post(LocalTargetChanged{});
     onChanged_();
--- a/Services/Node/LocalTarget.h
+++ b/Services/Node/LocalTarget.h
@@ -6,6 +6,7 @@
 #include <LibKernel/EventLoop.h>
 #include <LibNode/Dialect.h>
 #include <LibNode/Messages.h>
+#include <LibNode/TargetRecord.h>
 
 #include <functional>
 #include <map>
@@ -37,12 +38,12 @@
     void start();
 
     [[nodiscard]] bool isPresent() const { return client_ != nullptr; }
-    [[nodiscard]] bool isDraining() const { return announcement_.isDraining; }
-    [[nodiscard]] const std::string &service() const { return announcement_.service; }
-    [[nodiscard]] const Endpoint &endpoint() const { return announcement_.endpoint; }
-    [[nodiscard]] std::uint32_t slots() const { return announcement_.slots; }
+    [[nodiscard]] bool isDraining() const { return held().isDraining; }
+    [[nodiscard]] const std::string &service() const { return held().service; }
+    [[nodiscard]] const Endpoint &endpoint() const { return held().endpoint; }
+    [[nodiscard]] std::uint32_t slots() const { return held().slots; }
     /// Identifies this run of the target process; empty if the target does not announce an id.
-    [[nodiscard]] const std::string &targetId() const { return announcement_.targetId; }
+    [[nodiscard]] const std::string &targetId() const { return held().targetId; }
 
     /// The HTTP client of the target, or null while no target is present.
     [[nodiscard]] HttpClient *client() const { return client_.get(); }
@@ -61,11 +62,13 @@
     void routeNestedCall(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange);
     void finishNestedCall(const CallRouted &routed);
     void checkLease();
-    void applyAnnouncement(const Announcement &announcement);
-    void applyDeparture(const std::string &targetId);
-    void setAnnouncement(const Announcement &announcement);
+    void accept(const Announcement &announcement);
+    void depart(const std::string &targetId);
+    void logHeld() const;
+    void logIgnored(const Announcement &announcement) const;
     void startClient();
     void publishChange();
+    [[nodiscard]] const Announcement &held() const;
     [[nodiscard]] bool isOwnTarget(const Announcement &announcement) const;
 
     Kernel &kernel_;
@@ -78,8 +81,7 @@
     /// Clients of earlier target runs that have requests in flight.
     std::vector<std::unique_ptr<HttpClient>> retiredClients_;
     ShareCounters shares_;
-    Announcement announcement_;
-    TimePoint announcedAt_;
+    TargetRecord record_;
     Timer leaseTimer_;
     std::map<Token, NestedCall> nestedCalls_;
     std::optional<DrainSchedule> schedule_; ///< Set once a planned stop has begun.
