Node, LibNode: Use a new start of a target only once it confirms that it serves

Callers got requests passed on to a target after its node had acknowledged that it leaves, where the node's process had begun since, or had heard no word of the target before the departure.

Cause: a heartbeat is hearsay, seconds old at worst, and a process that does not hold the target has nothing to order it by. It believed the first one.

Ruled out: keeping departures in the store. It is away at times, just when nodes restart, and each acknowledgement would wait for a write.

A start that the node does not know is now a candidate until the target answers a health check with 200 and its id; a response cannot be older than its question. A target that leaves answers 503. Draining words and departures of a candidate count at once. The start before it stays in use meanwhile. Health checks may lie or fail for other reasons, so announcements that go on for a whole lease are believed as well.

--- a/Libraries/LibNode/Dialect.h
+++ b/Libraries/LibNode/Dialect.h
@@ -63,6 +63,10 @@
     /// Whether a request at the target's endpoint is an announcement rather than a nested call.
     bool (*isAnnouncement)(const HttpRequest &request) = nullptr;
     Result<Announcement> (*readAnnouncement)(const HttpRequest &request) = nullptr;
+
+    /// Whether the response to a health check is of the target with this id, and the target serves
+    /// and is not leaving. Null: targets cannot be asked.
+    bool (*confirmsServing)(const HttpResponse &response, std::string_view targetId) = nullptr;
 };
 
 /// The rules by which a response is accepted as the answer to this request to a target.
--- a/Libraries/LibNode/TargetRecord.cpp
+++ b/Libraries/LibNode/TargetRecord.cpp
@@ -1,6 +1,7 @@
 #include <LibNode/TargetRecord.h>
 
 #include <limits>
+#include <utility>
 
 namespace chive {
 
@@ -16,6 +17,7 @@
     record.held = announcement;
     record.isPresent = true;
     record.heardAt = now;
+    record.candidate.reset();
     return AnnouncementEffect::Begun;
 }
 
@@ -24,30 +26,60 @@
     const Announcement &held = *record.held;
     if (orderOf(held, next) == AnnouncementOrder::Stale)
         return AnnouncementEffect::None;
-    if (!record.isPresent)
-        return begin(record, next, now);
+    const bool wasPresent = std::exchange(record.isPresent, true);
     const bool hasChanged = next.slots != held.slots || next.isDraining != held.isDraining
                             || next.service != held.service;
     record.held = next;
     record.heardAt = now;
+    if (!wasPresent)
+        return AnnouncementEffect::Begun;
     return hasChanged ? AnnouncementEffect::Changed : AnnouncementEffect::Refreshed;
 }
 
+AnnouncementEffect updateCandidate(TargetRecord &record, const Announcement &next,
+                                   const TargetRules &rules, TimePoint now)
+{
+    TargetRecord::Candidate &candidate = *record.candidate;
+    if (orderOf(candidate.announcement, next) == AnnouncementOrder::Stale)
+        return AnnouncementEffect::None;
+    candidate.announcement = next;
+    candidate.heardAt = now;
+    // Health checks may fail for other reasons than that the target leaves. Announcements that go
+    // on for a whole lease are not delayed ones.
+    if (now - candidate.firstHeardAt >= rules.lease)
+        return begin(record, next, now);
+    return AnnouncementEffect::Refreshed;
+}
+
 } // namespace
 
 AnnouncementEffect applyAnnouncement(TargetRecord &record, const Announcement &announcement,
-                                     TimePoint now)
+                                     const TargetRules &rules, TimePoint now)
 {
     if (record.held && isSameStart(*record.held, announcement))
         return updateHeld(record, announcement, now);
     // After a step of the VM's clock a later start may seem earlier. Then the held one is silent.
     if (record.isPresent && orderOf(*record.held, announcement) == AnnouncementOrder::Stale)
         return AnnouncementEffect::None;
-    return begin(record, announcement, now);
+    if (announcement.isDraining || !rules.needsConfirmation)
+        return begin(record, announcement, now);
+    if (record.candidate && isSameStart(record.candidate->announcement, announcement))
+        return updateCandidate(record, announcement, rules, now);
+    if (record.candidate
+        && orderOf(record.candidate->announcement, announcement) == AnnouncementOrder::Stale)
+        return AnnouncementEffect::None;
+    record.candidate = TargetRecord::Candidate{announcement, now, now};
+    return AnnouncementEffect::Awaiting;
 }
 
 bool applyDeparture(TargetRecord &record, std::string_view targetId)
 {
+    const bool isCandidate
+            = record.candidate && record.candidate->announcement.targetId == targetId;
+    if (isCandidate) {
+        record.held = record.candidate->announcement;
+        record.candidate.reset();
+    }
     if (!record.held || record.held->targetId != targetId)
         return false;
     record.held->isDraining = true;
@@ -55,9 +87,17 @@
     return true;
 }
 
-bool endLease(TargetRecord &record, Milliseconds lease, TimePoint now, bool hasInFlight)
+void confirmCandidate(TargetRecord &record)
+{
+    const TargetRecord::Candidate candidate = *record.candidate;
+    begin(record, candidate.announcement, candidate.heardAt);
+}
+
+bool endLeases(TargetRecord &record, const TargetRules &rules, TimePoint now, bool hasInFlight)
 {
-    if (!record.isPresent || hasInFlight || now - record.heardAt < lease)
+    if (record.candidate && now - record.candidate->heardAt >= rules.lease)
+        record.candidate.reset();
+    if (!record.isPresent || hasInFlight || now - record.heardAt < rules.lease)
         return false;
     record.isPresent = false;
     return true;
--- a/Services/Node/LocalTarget.cpp
+++ b/Services/Node/LocalTarget.cpp
@@ -25,6 +25,8 @@
     , onChanged_(std::move(onChanged))
     , dialect_(dialectOf(kernel.settings()))
     , catalogue_(std::make_shared<const Catalogue>())
+    , rules_{kernel.settings().targetLease, dialect_.confirmsServing != nullptr}
+    , check_(kernel, [this] { handleConfirmed(); })
 {
     kernel.bus().subscribe<CatalogueChanged>(
             [this](const CatalogueChanged &message) { catalogue_ = message.catalogue; });
@@ -101,13 +103,24 @@
 
 void LocalTarget::accept(const Announcement &announcement)
 {
-    switch (applyAnnouncement(record_, announcement, kernel_.clock().now())) {
-    case AnnouncementEffect::None:
+    const AnnouncementEffect effect
+            = applyAnnouncement(record_, announcement, rules_, kernel_.clock().now());
+    if (effect == AnnouncementEffect::None)
         logIgnored(announcement);
-        return;
+    handleEffect(effect);
+}
+
+void LocalTarget::handleEffect(AnnouncementEffect effect)
+{
+    switch (effect) {
+    case AnnouncementEffect::None:
     case AnnouncementEffect::Refreshed:
         return;
+    case AnnouncementEffect::Awaiting:
+        check_.ask(record_.candidate->announcement);
+        return;
     case AnnouncementEffect::Begun:
+        stopNeedlessCheck();
         startClient();
         break;
     case AnnouncementEffect::Changed:
@@ -117,12 +130,27 @@
     publishChange();
 }
 
+void LocalTarget::handleConfirmed()
+{
+    if (!record_.candidate)
+        return;
+    confirmCandidate(record_);
+    handleEffect(AnnouncementEffect::Begun);
+}
+
+void LocalTarget::stopNeedlessCheck()
+{
+    if (!record_.candidate)
+        check_.stop();
+}
+
 void LocalTarget::depart(const std::string &targetId)
 {
     const bool isHeld = applyDeparture(record_, targetId);
     LOG(INFO) << "task=target event=departure id=" << targetId << " held=" << isHeld
               << " in_flight=" << (client_ == nullptr ? 0 : client_->inFlight())
               << " unsent=" << (client_ == nullptr ? 0 : client_->unsent());
+    stopNeedlessCheck();
     if (isHeld && isPresent())
         publishChange();
 }
@@ -172,7 +200,9 @@
 {
     std::erase_if(retiredClients_, [](const auto &client) { return client->inFlight() == 0; });
     const bool hasInFlight = client_ != nullptr && client_->inFlight() > 0;
-    if (!endLease(record_, kernel_.settings().targetLease, kernel_.clock().now(), hasInFlight))
+    const bool hasEnded = endLeases(record_, rules_, kernel_.clock().now(), hasInFlight);
+    stopNeedlessCheck();
+    if (!hasEnded)
         return;
     LOG(WARNING) << "task=target event=lease-expired id=" << held().targetId
                  << " service=" << held().service << " draining=" << held().isDraining;
--- a/Services/Node/LocalTarget.h
+++ b/Services/Node/LocalTarget.h
@@ -7,6 +7,7 @@
 #include <LibNode/Dialect.h>
 #include <LibNode/Messages.h>
 #include <LibNode/TargetRecord.h>
+#include <Node/TargetCheck.h>
 
 #include <functional>
 #include <map>
@@ -23,8 +24,8 @@
 class HttpServer;
 class Kernel;
 
-/// The target beside this node, as it announces itself, and the endpoint where the target sends its
-/// announcements and its nested calls.
+/// The target beside this node, as it announces itself and confirms that it serves, and the
+/// endpoint where the target sends its announcements and its nested calls.
 class LocalTarget
 {
 public:
@@ -63,6 +64,9 @@
     void finishNestedCall(const CallRouted &routed);
     void checkLease();
     void accept(const Announcement &announcement);
+    void handleEffect(AnnouncementEffect effect);
+    void handleConfirmed();
+    void stopNeedlessCheck();
     void depart(const std::string &targetId);
     void logHeld() const;
     void logIgnored(const Announcement &announcement) const;
@@ -81,7 +85,9 @@
     /// Clients of earlier target runs that have requests in flight.
     std::vector<std::unique_ptr<HttpClient>> retiredClients_;
     ShareCounters shares_;
+    TargetRules rules_;
     TargetRecord record_;
+    TargetCheck check_;
     Timer leaseTimer_;
     std::map<Token, NestedCall> nestedCalls_;
     std::optional<DrainSchedule> schedule_; ///< Set once a planned stop has begun.
--- a/Tests/LibNode/TestTargetRecord.cpp
+++ b/Tests/LibNode/TestTargetRecord.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr Milliseconds lease{6'000};
+constexpr Milliseconds heartbeatInterval{1'500};
+constexpr TargetRules rules{lease, true};
+/// Of a dialect whose targets cannot be asked.
+constexpr TargetRules rulesWithoutCheck{lease, false};
 constexpr TimePoint start{Milliseconds(100'000)};
 
 Announcement ready(std::uint64_t sequence)
@@ -38,36 +42,42 @@
 TEST_CASE("A target is used while it announces itself")
 {
     TargetRecord record;
-    REQUIRE(applyAnnouncement(record, ready(15), start) == AnnouncementEffect::Begun);
+    REQUIRE(applyAnnouncement(record, ready(15), rulesWithoutCheck, start)
+            == AnnouncementEffect::Begun);
     REQUIRE(isUsed(record));
-    CHECK(applyAnnouncement(record, ready(16), start + Milliseconds(1'500))
+    CHECK(applyAnnouncement(record, ready(16), rulesWithoutCheck, start + Milliseconds(1'500))
           == AnnouncementEffect::Refreshed);
 
     SUBCASE("changes of its slots are seen, late ones are not")
     {
         Announcement larger = ready(17);
         larger.slots = 8;
-        CHECK(applyAnnouncement(record, larger, start) == AnnouncementEffect::Changed);
-        CHECK(applyAnnouncement(record, ready(16), start) == AnnouncementEffect::None);
+        CHECK(applyAnnouncement(record, larger, rulesWithoutCheck, start)
+              == AnnouncementEffect::Changed);
+        CHECK(applyAnnouncement(record, ready(16), rulesWithoutCheck, start)
+              == AnnouncementEffect::None);
         CHECK(record.held->slots == 8);
     }
     SUBCASE("not once its lease has ended, until it announces itself again")
     {
         const TimePoint later = start + lease + Milliseconds(1'500);
-        CHECK_FALSE(endLease(record, lease, later - Milliseconds(1), false));
-        CHECK_FALSE(endLease(record, lease, later, true));
-        CHECK(endLease(record, lease, later, false));
+        CHECK_FALSE(endLeases(record, rulesWithoutCheck, later - Milliseconds(1), false));
+        CHECK_FALSE(endLeases(record, rulesWithoutCheck, later, true));
+        CHECK(endLeases(record, rulesWithoutCheck, later, false));
         CHECK_FALSE(isUsed(record));
-        CHECK_FALSE(endLease(record, lease, later, false));
-        CHECK(applyAnnouncement(record, ready(20), later) == AnnouncementEffect::Begun);
+        CHECK_FALSE(endLeases(record, rulesWithoutCheck, later, false));
+        CHECK(applyAnnouncement(record, ready(20), rulesWithoutCheck, later)
+              == AnnouncementEffect::Begun);
         CHECK(isUsed(record));
     }
     SUBCASE("another start takes its place")
     {
         Announcement next = ready(1);
         next.startedAt = 2'000;
-        CHECK(applyAnnouncement(record, next, start) == AnnouncementEffect::Begun);
-        CHECK(applyAnnouncement(record, ready(30), start) == AnnouncementEffect::None);
+        CHECK(applyAnnouncement(record, next, rulesWithoutCheck, start)
+              == AnnouncementEffect::Begun);
+        CHECK(applyAnnouncement(record, ready(30), rulesWithoutCheck, start)
+              == AnnouncementEffect::None);
         CHECK(record.held->startedAt == 2'000);
     }
 }
@@ -75,7 +85,7 @@
 TEST_CASE("A late announcement brings back a target that has left")
 {
     TargetRecord record;
-    applyAnnouncement(record, ready(15), start);
+    applyAnnouncement(record, ready(15), rulesWithoutCheck, start);
 
     SUBCASE("after it deregistered")
     {
@@ -83,28 +93,89 @@
         SUBCASE("within its lease") {}
         SUBCASE("after its lease")
         {
-            REQUIRE(endLease(record, lease, start + lease, false));
+            REQUIRE(endLeases(record, rulesWithoutCheck, start + lease, false));
         }
     }
     SUBCASE("after it deregistered when its lease had ended")
     {
-        REQUIRE(endLease(record, lease, start + lease, false));
+        REQUIRE(endLeases(record, rulesWithoutCheck, start + lease, false));
         REQUIRE(applyDeparture(record, "i-1"));
     }
     SUBCASE("after it said that it drains")
     {
-        applyAnnouncement(record, draining(18), start);
+        applyAnnouncement(record, draining(18), rulesWithoutCheck, start);
         SUBCASE("within its lease") {}
         SUBCASE("after its lease")
         {
-            REQUIRE(endLease(record, lease, start + lease, false));
+            REQUIRE(endLeases(record, rulesWithoutCheck, start + lease, false));
         }
     }
-    CHECK(applyAnnouncement(record, ready(16), start + lease) == AnnouncementEffect::None);
+    CHECK(applyAnnouncement(record, ready(16), rulesWithoutCheck, start + lease)
+          == AnnouncementEffect::None);
     CHECK_FALSE(isUsed(record));
 
     Announcement laterStart = ready(1);
     laterStart.startedAt = 2'000;
-    CHECK(applyAnnouncement(record, laterStart, start + lease) == AnnouncementEffect::Begun);
+    CHECK(applyAnnouncement(record, laterStart, rulesWithoutCheck, start + lease)
+          == AnnouncementEffect::Begun);
     CHECK(isUsed(record));
 }
+
+TEST_CASE("A target of which only a late announcement is known is used")
+{
+    TargetRecord record;
+    REQUIRE(applyAnnouncement(record, ready(15), rules, start) == AnnouncementEffect::Awaiting);
+    REQUIRE_FALSE(isUsed(record));
+
+    SUBCASE("only once it has confirmed that it serves")
+    {
+        CHECK(applyAnnouncement(record, ready(16), rules, start + heartbeatInterval)
+              == AnnouncementEffect::Refreshed);
+        CHECK_FALSE(isUsed(record));
+        confirmCandidate(record);
+        CHECK(isUsed(record));
+        CHECK(record.held->sequence == 16);
+        CHECK(record.heardAt == start + heartbeatInterval);
+    }
+    SUBCASE("not after it said that it leaves")
+    {
+        SUBCASE("by deregistering")
+        {
+            REQUIRE(applyDeparture(record, "i-1"));
+        }
+        SUBCASE("by draining")
+        {
+            REQUIRE(applyAnnouncement(record, draining(18), rules, start)
+                    == AnnouncementEffect::Begun);
+        }
+        CHECK_FALSE(record.candidate.has_value());
+        CHECK(applyAnnouncement(record, ready(17), rules, start) == AnnouncementEffect::None);
+        CHECK_FALSE(isUsed(record));
+    }
+    SUBCASE("not when it falls silent")
+    {
+        CHECK_FALSE(endLeases(record, rules, start + lease, false));
+        CHECK_FALSE(record.candidate.has_value());
+    }
+    SUBCASE("when its announcements go on for a whole lease, whatever its health check says")
+    {
+        std::uint64_t sequence = 16;
+        for (Milliseconds after = heartbeatInterval; after < lease; after += heartbeatInterval)
+            CHECK(applyAnnouncement(record, ready(sequence++), rules, start + after)
+                  == AnnouncementEffect::Refreshed);
+        CHECK(applyAnnouncement(record, ready(sequence), rules, start + lease)
+              == AnnouncementEffect::Begun);
+        CHECK(isUsed(record));
+    }
+    SUBCASE("and the start before it stays in use until then")
+    {
+        confirmCandidate(record);
+        Announcement next = ready(1);
+        next.startedAt = 2'000;
+        CHECK(applyAnnouncement(record, next, rules, start) == AnnouncementEffect::Awaiting);
+        CHECK(isUsed(record));
+        CHECK(record.held->startedAt == 1'000);
+        confirmCandidate(record);
+        CHECK(record.held->startedAt == 2'000);
+    }
+}
--- a/Tests/Platform/TestHeartbeats.cpp
+++ b/Tests/Platform/TestHeartbeats.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <string>
+#include <utility>
 
 using namespace chive;
 
@@ -53,6 +54,24 @@
     }
 }
 
+TEST_CASE("A health check confirms that a target serves")
+{
+    const auto response = [](int status, std::string id) {
+        return HttpResponse{status, {{"X-Chiverouter-Instance-Id", std::move(id)}}, nullptr};
+    };
+    CHECK(platform::confirmsServing(response(200, "i-1"), "i-1"));
+    SUBCASE("not while it leaves or fails")
+    {
+        CHECK_FALSE(platform::confirmsServing(response(503, "i-1"), "i-1"));
+        CHECK_FALSE(platform::confirmsServing(response(429, "i-1"), "i-1"));
+    }
+    SUBCASE("not for another target at its address")
+    {
+        CHECK_FALSE(platform::confirmsServing(response(200, "i-2"), "i-1"));
+        CHECK_FALSE(platform::confirmsServing({200, {}, nullptr}, "i-1"));
+    }
+}
+
 TEST_CASE("Announcements are ordered by start and sequence")
 {
     Announcement held;
