LibNode, Node: Acknowledge no word that the node does not act on

A target that was restarted under its id after its VM's clock had been stepped back said that it leaves, got its acknowledgement, and was sent requests on.

Cause: its start seemed earlier than the held one, so its words changed nothing, but all words were answered with 200. Requests in flight kept the lease of the held start from ending, so under load this lasted.

Words of a start that seems earlier are now answered with 409. Once the held start has been silent for half its lease they count, whatever is in flight.

--- a/Libraries/LibNode/TargetRecord.cpp
+++ b/Libraries/LibNode/TargetRecord.cpp
@@ -51,6 +51,15 @@
     return AnnouncementEffect::Refreshed;
 }
 
+/// Whether the announcement is of an earlier start than the held one. After a step of the VM's
+/// clock a later start may seem earlier; then the held one is silent.
+bool isSuperseded(const TargetRecord &record, const Announcement &next, const TargetRules &rules,
+                  TimePoint now)
+{
+    return record.isPresent && orderOf(*record.held, next) == AnnouncementOrder::Stale
+           && now - record.heardAt < rules.lease / 2;
+}
+
 } // namespace
 
 AnnouncementEffect applyAnnouncement(TargetRecord &record, const Announcement &announcement,
@@ -58,16 +67,15 @@
 {
     if (record.held && isSameStart(*record.held, announcement))
         return updateHeld(record, announcement, now);
-    // After a step of the VM's clock a later start may seem earlier. Then the held one is silent.
-    if (record.isPresent && orderOf(*record.held, announcement) == AnnouncementOrder::Stale)
-        return AnnouncementEffect::None;
+    if (isSuperseded(record, announcement, rules, now))
+        return AnnouncementEffect::Rejected;
     if (announcement.isDraining || !rules.needsConfirmation)
         return begin(record, announcement, now);
     if (record.candidate && isSameStart(record.candidate->announcement, announcement))
         return updateCandidate(record, announcement, rules, now);
     if (record.candidate
         && orderOf(record.candidate->announcement, announcement) == AnnouncementOrder::Stale)
-        return AnnouncementEffect::None;
+        return AnnouncementEffect::Rejected;
     record.candidate = TargetRecord::Candidate{announcement, now, now};
     return AnnouncementEffect::Awaiting;
 }
--- a/Libraries/LibNode/TargetRecord.h
+++ b/Libraries/LibNode/TargetRecord.h
@@ -37,7 +37,9 @@
 
 /// What an announcement has changed.
 enum class AnnouncementEffect : std::uint8_t {
-    None,      ///< Nothing: it is older than what is known.
+    None,      ///< Nothing: it is older than what is known of its start.
+    Rejected,  ///< Nothing: it seems to be of an earlier start. It must not be acknowledged, as the
+               ///< node does not act on it.
     Refreshed, ///< The held start, or the candidate, is still there.
     Changed,   ///< The held start has other slots or another state.
     Begun,     ///< The held start is a new one, or back after its lease.
--- a/Services/Node/LocalTarget.cpp
+++ b/Services/Node/LocalTarget.cpp
@@ -17,6 +17,11 @@
 
 constexpr Milliseconds leaseCheckInterval{250};
 
+HttpResponse acknowledgement()
+{
+    return {200, {{"Content-Type", "application/json"}}, makeBody("{}")};
+}
+
 } // namespace
 
 LocalTarget::LocalTarget(Kernel &kernel, CallContexts &contexts, std::function<void()> onChanged)
@@ -81,16 +86,15 @@
     const Announcement &announcement = read.value();
     if (announcement.isDeparture) {
         depart(announcement.targetId);
-    } else if (isOwnTarget(announcement)) {
-        accept(announcement);
-    } else {
-        LOG_EVERY_N(WARNING, 10) << "task=target event=announcement-refused id="
-                                 << announcement.targetId << " service=" << announcement.service
-                                 << " endpoint=" << format(announcement.endpoint)
-                                 << " error=\"not the target of this node\"";
-        return {400, {}, makeBody("not the target of this node")};
+        return acknowledgement();
     }
-    return {200, {{"Content-Type", "application/json"}}, makeBody("{}")};
+    if (isOwnTarget(announcement))
+        return accept(announcement);
+    LOG_EVERY_N(WARNING, 10) << "task=target event=announcement-refused id="
+                             << announcement.targetId << " service=" << announcement.service
+                             << " endpoint=" << format(announcement.endpoint)
+                             << " error=\"not the target of this node\"";
+    return {400, {}, makeBody("not the target of this node")};
 }
 
 bool LocalTarget::isOwnTarget(const Announcement &announcement) const
@@ -101,19 +105,23 @@
     return isService && (!settings.target || announcement.endpoint == *settings.target);
 }
 
-void LocalTarget::accept(const Announcement &announcement)
+HttpResponse LocalTarget::accept(const Announcement &announcement)
 {
     const AnnouncementEffect effect
             = applyAnnouncement(record_, announcement, rules_, kernel_.clock().now());
-    if (effect == AnnouncementEffect::None)
+    if (effect == AnnouncementEffect::None || effect == AnnouncementEffect::Rejected)
         logIgnored(announcement);
     handleEffect(effect);
+    if (effect == AnnouncementEffect::Rejected)
+        return {409, {}, makeBody("a later start of the target is known")};
+    return acknowledgement();
 }
 
 void LocalTarget::handleEffect(AnnouncementEffect effect)
 {
     switch (effect) {
     case AnnouncementEffect::None:
+    case AnnouncementEffect::Rejected:
     case AnnouncementEffect::Refreshed:
         return;
     case AnnouncementEffect::Awaiting:
--- a/Services/Node/LocalTarget.h
+++ b/Services/Node/LocalTarget.h
@@ -63,7 +63,7 @@
     void routeNestedCall(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange);
     void finishNestedCall(const CallRouted &routed);
     void checkLease();
-    void accept(const Announcement &announcement);
+    HttpResponse accept(const Announcement &announcement);
     void handleEffect(AnnouncementEffect effect);
     void handleConfirmed();
     void stopNeedlessCheck();
--- a/Tests/LibNode/TestTargetRecord.cpp
+++ b/Tests/LibNode/TestTargetRecord.cpp
@@ -77,7 +77,7 @@
         CHECK(applyAnnouncement(record, next, rulesWithoutCheck, start)
               == AnnouncementEffect::Begun);
         CHECK(applyAnnouncement(record, ready(30), rulesWithoutCheck, start)
-              == AnnouncementEffect::None);
+              == AnnouncementEffect::Rejected);
         CHECK(record.held->startedAt == 2'000);
     }
 }
@@ -179,3 +179,30 @@
         CHECK(record.held->startedAt == 2'000);
     }
 }
+
+TEST_CASE("A departure is acknowledged and ignored because its start seems earlier")
+{
+    TargetRecord record;
+    applyAnnouncement(record, ready(15), rules, start);
+    confirmCandidate(record);
+    Announcement restarted = draining(2);
+    restarted.startedAt = 500;
+
+    SUBCASE("it is not acknowledged while the held start may still announce itself")
+    {
+        CHECK(applyAnnouncement(record, restarted, rules, start + heartbeatInterval)
+              == AnnouncementEffect::Rejected);
+        CHECK(isUsed(record));
+    }
+    SUBCASE("it counts once the held start is silent")
+    {
+        CHECK(applyAnnouncement(record, restarted, rules, start + lease / 2)
+              == AnnouncementEffect::Begun);
+        CHECK_FALSE(isUsed(record));
+    }
+    SUBCASE("the id alone is enough for a departure")
+    {
+        CHECK(applyDeparture(record, "i-1"));
+        CHECK_FALSE(isUsed(record));
+    }
+}
