LibHttp, Node: Send no request to a target after its departure

Requests reached a target seconds after its node had acknowledged that it leaves.

Cause: TargetTask looks for a departure when it hands a request to HttpClient, which sends it once a connection is open. A target whose queue of connections is full lets that take seconds.

When the target leaves, requests of which no byte has left now fail as not sent; their verdict is not-run, so that they run elsewhere. What has begun to leave goes on.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -413,6 +413,17 @@
             active_, [](const auto &entry) { return entry.second->connection->bytesSent == 0; }));
 }
 
+void HttpClient::failUnsent(const std::string &message)
+{
+    std::vector<Active *> unsent;
+    for (const auto &[id, active] : active_) {
+        if (active->connection->bytesSent == 0)
+            unsent.push_back(active.get());
+    }
+    for (Active *active : unsent)
+        fail(*active, message);
+}
+
 void HttpClient::keepIdle(std::unique_ptr<Connection> connection)
 {
     connection->idleFor = Milliseconds(0);
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -107,6 +107,9 @@
     /// Requests in flight of which no byte has left yet, such as while their connection opens.
     [[nodiscard]] std::size_t unsent() const;
 
+    /// Fails these requests with Stage::NotSent.
+    void failUnsent(const std::string &message);
+
 private:
     struct Connection;
     struct Active;
--- a/Services/Node/LocalTarget.cpp
+++ b/Services/Node/LocalTarget.cpp
@@ -199,6 +199,8 @@
 
 void LocalTarget::publishChange()
 {
+    if (held().isDraining)
+        client_->failUnsent("the target is leaving");
     kernel_.bus().post(
             LocalTargetChanged{held().service, held().endpoint, held().slots, held().isDraining});
     onChanged_();
--- a/Services/Node/TargetTask.cpp
+++ b/Services/Node/TargetTask.cpp
@@ -278,7 +278,8 @@
         const HttpFailure &failure = outcome.error();
         switch (failure.stage) {
         case HttpFailure::Stage::NotSent:
-            finish(token, notRun(Reason::TargetUnreachable, failure.message));
+            finish(token, notRun(target_.isDraining() ? Reason::Leaving : Reason::TargetUnreachable,
+                                 failure.message));
             return;
         case HttpFailure::Stage::Sent:
             crashDetector_.noteConnectionLost(work.call->fingerprint, target_.endpoint());
