LibPolicy, Node: Begin with an empty retry budget under a shared bound

Each start of a node granted three retries for each service, whatever the process before it had spent, so nodes that restart one after the other could together go beyond the bound that they share.

A node now begins with an empty budget where a bound is shared; its first attempts fill it. Budgets that are not shared begin as before.

--- a/Libraries/LibPolicy/Retry.cpp
+++ b/Libraries/LibPolicy/Retry.cpp
@@ -166,6 +166,14 @@
     return limits;
 }
 
+RetryBudget sharedBudget(const RetryBudgetLimits &limits)
+{
+    RetryBudget budget;
+    budget.limits = limits;
+    budget.tokens = 0.0;
+    return budget;
+}
+
 bool hasTokens(RetryBudget &budget, double tokens, TimePoint now)
 {
     refill(budget, now);
--- a/Libraries/LibPolicy/Retry.h
+++ b/Libraries/LibPolicy/Retry.h
@@ -63,6 +63,10 @@
     TimePoint lastRefill;
 };
 
+/// The budget of a process that has just begun and shares a bound with other nodes. It is empty, as
+/// the process before it may have spent all that the node was allowed.
+[[nodiscard]] RetryBudget sharedBudget(const RetryBudgetLimits &limits);
+
 [[nodiscard]] bool hasTokens(RetryBudget &budget, double tokens, TimePoint now);
 void takeTokens(RetryBudget &budget, double tokens);
 
--- a/Services/Node/TargetChooser.cpp
+++ b/Services/Node/TargetChooser.cpp
@@ -63,19 +63,27 @@
         retainTargets(service.choice, candidatesOf(usableMembersOf(name, {})));
 }
 
+TargetChooser::ServiceState &TargetChooser::stateOf(const std::string &service)
+{
+    const auto [found, isNew] = services_.try_emplace(service);
+    if (isNew && retryBound_)
+        found->second.budget = sharedBudget({});
+    return found->second;
+}
+
 bool TargetChooser::shouldShed(const Call &call, TimePoint now)
 {
     // Refusing a nested call wastes the work already done for the rest of its tree.
     if (call.isNested)
         return false;
-    ServiceState &service = services_[call.service];
+    ServiceState &service = stateOf(call.service);
     const auto candidates = candidatesOf(usableMembersOf(call.service, {}));
     return shouldShedAtEntry(service.shed, service.choice, candidates, call.importance, now);
 }
 
 const Member *TargetChooser::choose(const Call &call, const Attempts &attempts, TimePoint now)
 {
-    ServiceState &service = services_[call.service];
+    ServiceState &service = stateOf(call.service);
     if (retryLimits_)
         service.budget.limits = *retryLimits_;
     if (attempts.count == 0)
@@ -88,12 +96,12 @@
 
 void TargetChooser::noteSent(const Call &call, const std::string &nodeId, TimePoint now)
 {
-    chive::noteSent(services_[call.service].choice, nodeId, call.duration, now);
+    chive::noteSent(stateOf(call.service).choice, nodeId, call.duration, now);
 }
 
 void TargetChooser::noteEnded(const Call &call, const EndedAttempt &ended, TimePoint now)
 {
-    ServiceState &service = services_[call.service];
+    ServiceState &service = stateOf(call.service);
     const Judged<Answer> &result = ended.outcome->result;
     ObservedOutcome end{
             ended.sentAt, call.duration, result.has_value(), isTargetFailure(result), {}};
@@ -108,7 +116,7 @@
                                   TimePoint now)
 {
     const ObservedOutcome end{sentAt, call.duration, false, false, {}};
-    chive::noteEnded(services_[call.service].choice, nodeId, end, now);
+    chive::noteEnded(stateOf(call.service).choice, nodeId, end, now);
 }
 
 TargetChooser::RetryPlan TargetChooser::takeRetry(const Call &call, const CallOutcome &outcome,
@@ -149,7 +157,7 @@
                                 const Call &call, const CallOutcome &outcome, Allowance &left,
                                 TimePoint now)
 {
-    ServiceState &service = services_[call.service];
+    ServiceState &service = stateOf(call.service);
     // Under overload the budget must not be spent on calls that the next target would refuse too.
     if (isRefusedForOverload(outcome.result)) {
         std::erase_if(targets, [&](const Member *member) {
@@ -179,7 +187,7 @@
     if (!retryBound_ || found == meshPressure_->services.end())
         return budgets;
     for (const std::string &service : found->second.servicesBelow)
-        budgets.push_back(&services_[service].budget);
+        budgets.push_back(&stateOf(service).budget);
     return budgets;
 }
 
--- a/Services/Node/TargetChooser.h
+++ b/Services/Node/TargetChooser.h
@@ -89,6 +89,9 @@
         RetryBudget budget;
     };
 
+    /// The state of the service, which is created when it is first needed.
+    [[nodiscard]] ServiceState &stateOf(const std::string &service);
+
     /// Takes a retry at one of the targets, which are those of the plan; false if there is none or
     /// it is not allowed.
     [[nodiscard]] bool takeRetryAt(std::vector<const Member *> targets, RetryPlan plan,
--- a/Tests/LibPolicy/TestSharedRetryBound.cpp
+++ b/Tests/LibPolicy/TestSharedRetryBound.cpp
@@ -38,19 +38,31 @@
     return spending == Spending::AtOnce || at % period < stepsInWindow / 4;
 }
 
+/// Whether the nodes' processes end and begin anew now and then, without a memory of what they spent.
+enum class Processes {
+    Live,
+    Restart, ///< Each node once in about half a window.
+};
+
 /// Simulates nodes that spend every token that they may, under a load that varies at random.
-History spendGreedily(std::size_t nodes, unsigned seed, Spending spending = Spending::AtOnce)
+History spendGreedily(std::size_t nodes, unsigned seed, Spending spending = Spending::AtOnce,
+                      Processes processes = Processes::Live, unsigned mostLoad = 30)
 {
     std::mt19937 random(seed);
-    std::vector<RetryBudget> budgets(nodes);
-    for (RetryBudget &budget : budgets)
-        budget.limits = sharedLimits(ratio, constant, window, nodes);
+    const RetryBudget fresh = sharedBudget(sharedLimits(ratio, constant, window, nodes));
+    std::vector<RetryBudget> budgets(nodes, fresh);
     History history;
     TimePoint now{std::chrono::hours(1)};
-    unsigned load = 10;
+    unsigned load = std::min(10U, mostLoad);
     for (std::size_t i = 0; i < steps; ++i, now += step) {
         if (i % 20 == 0)
-            load = random() % 30;
+            load = random() % mostLoad;
+        if (processes == Processes::Restart) {
+            for (RetryBudget &budget : budgets) {
+                if (random() % (stepsInWindow / 2) == 0)
+                    budget = fresh;
+            }
+        }
         for (RetryBudget &budget : budgets) {
             const int requests = static_cast<int>(random() % (load + 1));
             for (int request = 0; request < requests; ++request)
@@ -109,3 +121,21 @@
         }
     }
 }
+
+TEST_CASE("Nodes that restart spend more than the shared bound")
+{
+    for (const unsigned load : {1, 2, 30}) {
+        for (const std::size_t nodes : {10, 17, 90, 300}) {
+            CAPTURE(load);
+            CAPTURE(nodes);
+            const History history
+                    = spendGreedily(nodes, 1, Spending::AtOnce, Processes::Restart, load);
+            for (std::size_t from = stepsInWindow; from + stepsInWindow <= steps; ++from) {
+                const int requests = std::max({sumOf(history.requests, from),
+                                               sumOf(history.requests, from - stepsInWindow / 2),
+                                               sumOf(history.requests, from - stepsInWindow)});
+                REQUIRE(sumOf(history.retries, from) <= ratio * requests + constant);
+            }
+        }
+    }
+}
