--- a/Tests/LibPolicy/TestSharedRetryBound.cpp
+++ b/Tests/LibPolicy/TestSharedRetryBound.cpp
@@ -38,7 +38,8 @@
     return spending == Spending::AtOnce || at % period < stepsInWindow / 4;
 }
 
-/// Whether the nodes' processes end and begin anew now and then, without a memory of what they spent.
+/// Whether the nodes' processes end and begin anew now and then, without a memory of what they
+/// spent.
 enum class Processes {
     Live,
     Restart, ///< Each node once in about half a window.
