--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -107,7 +107,7 @@
     /// Requests in flight of which no byte has left yet, such as while their connection opens.
     [[nodiscard]] std::size_t unsent() const;
 
-    /// Fails these requests with Stage::NotSent.
+    /// Fails the unsent requests with Stage::NotSent. Nothing of them leaves afterwards.
     void failUnsent(const std::string &message);
 
 private:
--- a/Tests/LibNode/TestLeavingTargets.cpp
+++ b/Tests/LibNode/TestLeavingTargets.cpp
@@ -30,9 +30,9 @@
 
     State state = State::Gone;
     Announcement announcement;
-    bool isAcknowledged = false; ///< Its leaving was.
+    bool isAcknowledged = false; ///< The node has acknowledged that it leaves.
     TimePoint nextHeartbeat;
-    TimePoint changeAt; ///< Of the state, if it is not acknowledged earlier.
+    TimePoint changeAt; ///< When a leaving target exits, or a gone one starts again.
 };
 
 struct Message
@@ -156,7 +156,8 @@
         target_.isAcknowledged = true;
     }
 
-    /// Words of leaving come at once, as their acknowledgement is awaited; others may be late.
+    /// Draining announcements arrive at once, as the target waits for their acknowledgement; others
+    /// may be late.
     void send(const Announcement &announcement)
     {
         const bool isLate = !announcement.isDraining && chance(3);
