--- a/review/1/scenario.cc
+++ b/review/1/scenario.cc
@@ -41,8 +41,10 @@
         return notRun;
 
     if (hasTrouble())
-        deployment.store().beSilent(silentMs);
-    deployment.configure(configuration(8, "archive"));
+        deployment.store().putThenBeSilent("keyed.op", "config", configuration(8, "archive"),
+                                           silentMs);
+    else
+        deployment.configure(configuration(8, "archive"));
     const std::int64_t acknowledgedAt = nowMs();
     deployment.record("the store acknowledges version 8: /history/ moves from lookup to archive");
     const std::int64_t outage = hasTrouble() ? silentMs + contactMs : 0;
--- a/review/lab/Lab.cc
+++ b/review/lab/Lab.cc
@@ -350,8 +350,12 @@
     }
 }
 
-void Store::beSilent(std::int64_t durationMs)
+void Store::putThenBeSilent(const std::string &topic, const std::string &key,
+                            const std::string &value, std::int64_t durationMs)
 {
+    // Reads look at the records under this lock, so none is answered in between.
+    const std::scoped_lock lock(mutex_);
+    topics_[topic].emplace_back(key, value);
     silentUntil_ = nowMs() + durationMs;
 }
 
--- a/review/lab/Lab.hh
+++ b/review/lab/Lab.hh
@@ -91,9 +91,10 @@
 public:
     explicit Store(const Address &address);
     void put(const std::string &topic, const std::string &key, const std::string &value);
-    /// From now on the store answers nobody. A connection on which an answer was lost returns
-    /// nothing further, also when the store is back.
-    void beSilent(std::int64_t durationMs);
+    /// Writes a record and then answers nobody for a while: waiting reads of it get no answer. A
+    /// connection on which an answer was lost returns nothing further, also when the store is back.
+    void putThenBeSilent(const std::string &topic, const std::string &key,
+                         const std::string &value, std::int64_t durationMs);
 
 private:
     void handle(Connection &connection);
