StoreTask: Find changes whose report the store has lost

Cause: every node waits up to 25 s for the answer to a read of changes, and 4 s more. A connection on which the store has lost an answer stays open and returns nothing, which looks the same as no change. Each node's own wait was the only source of new versions, and the gossip between nodes had nothing to pass on.

Ruled out: that waiting reads end in every outage. So only reads that were owed an answer die, and nothing short of another read tells.

Announcements between nodes say how long ago the store confirmed the version that they name, and whether waiting reads missed that version; nodes that hear of a missed one read the store again at once. So does a node whose waiting read is silent though a peer sends it the record. Related paths: a read of the newest values that is not answered within 1 s is sent once more on another connection, since its answer can be lost in the same way, and the other topics' waiting reads are restarted with the one that missed a change. Shorter waits at all nodes would find the loss as well, at a number of billed calls that grows with the mesh.

--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -195,13 +195,39 @@
     StoreTopic topic = StoreTopic::Configuration;
 };
 
+/// What made the store task read the entries.
+enum class StoreReadKind : std::uint8_t {
+    Whole,  ///< A read of the topic's complete contents.
+    Change, ///< The store reported them to the waiting read.
+    Missed, ///< A check found them; the store's report was lost.
+};
+
 /// From the store task, in the store's order. A value may be reported twice. After the store came
 /// back from an older copy, a whole read may lack values that were reported before.
 struct StoreRead
 {
     StoreTopic topic = StoreTopic::Configuration;
     std::vector<StoreEntry> entries;
-    bool isWhole = false; ///< The entries are the topic's complete contents.
+    StoreReadKind kind = StoreReadKind::Change;
+};
+
+/// From the store task: everything that the store holds of the topic has been reported.
+struct StoreConfirmed
+{
+    StoreTopic topic = StoreTopic::Configuration;
+};
+
+/// To the store task: ask now whether the waiting read has missed a change. Nothing happens while
+/// the topic is being read.
+struct CheckStore
+{
+    StoreTopic topic = StoreTopic::Configuration;
+};
+
+/// To the store task: the waiting read has missed a change, so read the topic again.
+struct ReadStoreAgain
+{
+    StoreTopic topic = StoreTopic::Configuration;
 };
 
 /// To the store task: write a value.
--- a/Services/Node/StoreDirectoryTask.cpp
+++ b/Services/Node/StoreDirectoryTask.cpp
@@ -42,7 +42,7 @@
         bool isListed = false;
         for (const StoreEntry &entry : read.entries)
             isListed = handleEntry(entry) || isListed;
-        if (read.isWhole && !isListed && putToken_ == 0)
+        if (read.kind == StoreReadKind::Whole && !isListed && putToken_ == 0)
             putEntry();
     }
 
--- a/Services/Node/StoreTask.cpp
+++ b/Services/Node/StoreTask.cpp
@@ -26,6 +26,10 @@
 constexpr Milliseconds longestWait{25'000};
 /// Time allowed for an answer, in addition to the requested wait.
 constexpr Milliseconds answerTimeout{4'000};
+/// A read that the store has not answered for this long is sent once more, on another connection.
+/// An answer that was lost in an outage never comes, however soon the store is back.
+constexpr Milliseconds secondReadDelay{1'000};
+constexpr std::size_t maximumOpenCalls = 8; ///< For one topic.
 /// Retry delays. Changes missed during an outage must be known within 2 s of the store's return.
 constexpr Milliseconds firstRetryDelay{200};
 constexpr Milliseconds longestRetryDelay{1'000};
@@ -39,7 +43,8 @@
 
 /// The node's only client of the store. For each followed topic it reads the newest values, then
 /// waits for changes from that offset on. When the store was restored from an older copy, it reads
-/// the newest values of all followed topics again.
+/// the newest values of all followed topics again. On request it checks that the waiting read of a
+/// topic has missed nothing.
 class StoreTask final : public Task
 {
 public:
@@ -61,11 +66,19 @@
                             .Help("Restores of the store from an older copy seen by this node.")
                             .Register(kernel.metrics())
                             .Add({}))
+        , missedChanges_(prometheus::BuildCounter()
+                                 .Name("chiverouter_store_missed_changes_total")
+                                 .Help("Changes that the waiting reads of this node missed.")
+                                 .Register(kernel.metrics())
+                                 .Add({}))
     {
         client_.trustServer();
         client_.detectSilentConnections();
         Bus &bus = kernel.bus();
         bus.subscribe<FollowTopic>([this](const FollowTopic &message) { follow(message.topic); });
+        bus.subscribe<CheckStore>([this](const CheckStore &message) { check(message.topic); });
+        bus.subscribe<ReadStoreAgain>(
+                [this](const ReadStoreAgain &message) { readAgain(message.topic); });
         bus.subscribe<PutInStore>([this](const PutInStore &message) { put(message); });
         bus.subscribe<MembersChanged>([this](const MembersChanged &changed) {
             knowsOthers_ = changed.members->size() > 1;
@@ -81,57 +94,99 @@
     struct FollowedTopic
     {
         StorePosition position;
-        bool isLoading = false;     ///< The newest values are being read, or will be after a delay.
-        std::uint64_t lastCall = 0; ///< Number of the topic's newest call; others are abandoned.
-        HttpClient::RequestId request = 0;
+        bool isLoading = false; ///< The newest values are being read, or will be after a delay.
+        /// The open calls by number. Answers to others, which were abandoned, are ignored.
+        std::map<std::uint64_t, HttpClient::RequestId> calls;
         std::vector<StoreEntry> pageEntries;
         std::size_t reads = 0; ///< Successful reads since the start.
         Milliseconds retryDelay = firstRetryDelay;
         Timer timer;
     };
 
+    /// Why changes are read.
+    enum class ChangesRead : std::uint8_t {
+        Waiting, ///< To hear of the next change.
+        Check,   ///< To see whether the waiting read has missed one.
+    };
+
     void follow(StoreTopic topic)
     {
         if (topics_.try_emplace(topic).second)
             loadNewest(topic, {});
     }
 
-    /// Makes the topic's next call. The answer to a call before it is ignored.
     template<typename Handler>
     void call(StoreTopic topic, const HttpRequest &request, Milliseconds timeout, Handler handle)
     {
-        FollowedTopic &followed = topics_.at(topic);
-        const std::uint64_t number = ++followed.lastCall;
-        followed.request
+        const std::uint64_t number = ++lastCall_;
+        const HttpClient::RequestId id
                 = client_.send(request, timeout,
                                [this, topic, number, handle](const HttpClient::Outcome &outcome) {
-                                   if (topics_.at(topic).lastCall != number)
+                                   if (topics_.at(topic).calls.erase(number) == 0)
                                        return;
                                    handle(outcome);
                                    reloadStaleTopics();
                                });
+        topics_.at(topic).calls.emplace(number, id);
+    }
+
+    void abandonCalls(StoreTopic topic)
+    {
+        for (const auto &[number, id] : std::exchange(topics_.at(topic).calls, {}))
+            client_.cancel(id);
     }
 
     void loadNewest(StoreTopic topic, const std::string &afterKey)
     {
-        topics_.at(topic).isLoading = true;
+        FollowedTopic &followed = topics_.at(topic);
+        followed.isLoading = true;
+        followed.timer = kernel_.loop().after(
+                secondReadDelay, [this, topic, afterKey] { loadNewest(topic, afterKey); });
+        if (followed.calls.size() >= maximumOpenCalls)
+            return;
         call(topic, protocol_.newestRequest(topic, afterKey), answerTimeout,
              [this, topic, afterKey](const HttpClient::Outcome &outcome) {
                  handleNewest(topic, afterKey, outcome);
              });
     }
 
+    void reload(StoreTopic topic)
+    {
+        topics_.at(topic).pageEntries.clear();
+        abandonCalls(topic);
+        loadNewest(topic, {});
+    }
+
     /// Reads the topics again whose position the store's restore has made invalid. Their long polls
     /// would wait at offsets that now belong to other records.
     void reloadStaleTopics()
     {
         for (auto &[topic, followed] : topics_) {
-            if (followed.isLoading || !needsReload(followed.position, era_))
+            if (!followed.isLoading && needsReload(followed.position, era_))
+                reload(topic);
+        }
+    }
+
+    void readAgain(StoreTopic topic)
+    {
+        const auto found = topics_.find(topic);
+        if (found == topics_.end() || found->second.isLoading)
+            return;
+        missedChanges_.Increment();
+        LOG(WARNING) << "task=store event=missed-change found-by=peer from="
+                     << found->second.position.nextOffset;
+        reload(topic);
+        restartWaitingReads();
+    }
+
+    /// For the topics whose waiting read may have lost its answer as well.
+    void restartWaitingReads()
+    {
+        for (auto &[topic, followed] : topics_) {
+            if (followed.isLoading || followed.calls.empty())
                 continue;
-            followed.timer.cancel();
-            const HttpClient::RequestId abandoned = followed.request;
-            loadNewest(topic, {});
-            client_.cancel(abandoned);
+            abandonCalls(topic);
+            awaitChanges(topic);
         }
     }
 
@@ -143,10 +198,13 @@
             return protocol_.readNewest(response);
         });
         if (!page.has_value()) {
+            if (!followed.calls.empty())
+                return;
             followed.pageEntries.clear();
             retryLater(topic, [this, topic] { loadNewest(topic, {}); });
             return;
         }
+        abandonCalls(topic);
         StorePage &read = page.value();
         // Changes made while the pages are read start at the end offset of the first page.
         if (afterKey.empty())
@@ -163,38 +221,73 @@
             return;
         }
         followed.isLoading = false;
-        kernel_.bus().post(StoreRead{topic, std::exchange(followed.pageEntries, {}), true});
+        followed.timer.cancel();
+        kernel_.bus().post(
+                StoreRead{topic, std::exchange(followed.pageEntries, {}), StoreReadKind::Whole});
+        kernel_.bus().post(StoreConfirmed{topic});
         continueFollowing(topic);
     }
 
-    void awaitChanges(StoreTopic topic)
+    void awaitChanges(StoreTopic topic) { readChanges(topic, longestWait, ChangesRead::Waiting); }
+
+    void check(StoreTopic topic)
+    {
+        const auto found = topics_.find(topic);
+        if (found == topics_.end() || found->second.isLoading
+            || found->second.calls.size() >= maximumOpenCalls)
+            return;
+        readChanges(topic, Milliseconds(0), ChangesRead::Check);
+    }
+
+    void readChanges(StoreTopic topic, Milliseconds wait, ChangesRead kind)
     {
         const std::uint64_t from = topics_.at(topic).position.nextOffset;
-        call(topic, protocol_.changesRequest(topic, from, longestWait), longestWait + answerTimeout,
-             [this, topic, from](const HttpClient::Outcome &outcome) {
-                 handleChanges(topic, from, outcome);
+        call(topic, protocol_.changesRequest(topic, from, wait), wait + answerTimeout,
+             [this, topic, from, kind](const HttpClient::Outcome &outcome) {
+                 handleChanges(topic, from, kind, outcome);
              });
     }
 
-    void handleChanges(StoreTopic topic, std::uint64_t from, const HttpClient::Outcome &outcome)
+    void handleChanges(StoreTopic topic, std::uint64_t from, ChangesRead kind,
+                       const HttpClient::Outcome &outcome)
     {
         FollowedTopic &followed = topics_.at(topic);
-        auto changes = readOutcome("changes", outcome, [&](const HttpResponse &response) {
-            return protocol_.readChanges(response, from);
-        });
+        const bool isCheck = kind == ChangesRead::Check;
+        auto changes = readOutcome(isCheck ? "check" : "changes", outcome,
+                                   [&](const HttpResponse &response) {
+                                       return protocol_.readChanges(response, from);
+                                   });
         if (!changes.has_value()) {
+            if (isCheck)
+                return;
             // Reads the newest values, as the store may no longer retain the offset.
             followed.isLoading = true;
+            abandonCalls(topic);
             retryLater(topic, [this, topic] { loadNewest(topic, {}); });
             return;
         }
         if (changes.value().isTruncated || needsReload(followed.position, era_)) {
-            loadNewest(topic, {});
+            reload(topic);
             return;
         }
-        followed.position.nextOffset = from + changes.value().entries.size();
-        if (!changes.value().entries.empty())
-            kernel_.bus().post(StoreRead{topic, std::move(changes.value().entries), false});
+        const std::size_t count = changes.value().entries.size();
+        if (isCheck && count == 0) {
+            kernel_.bus().post(StoreConfirmed{topic});
+            return;
+        }
+        abandonCalls(topic);
+        followed.position.nextOffset = from + count;
+        if (count > 0) {
+            const auto reported = isCheck ? StoreReadKind::Missed : StoreReadKind::Change;
+            kernel_.bus().post(StoreRead{topic, std::move(changes.value().entries), reported});
+        }
+        kernel_.bus().post(StoreConfirmed{topic});
+        if (isCheck) {
+            missedChanges_.Increment(static_cast<double>(count));
+            LOG(WARNING) << "task=store event=missed-change found-by=check from=" << from
+                         << " changes=" << count;
+            restartWaitingReads();
+        }
         continueFollowing(topic);
     }
 
@@ -286,8 +379,10 @@
     prometheus::Family<prometheus::Counter> &calls_;
     prometheus::Gauge &reachableGauge_;
     prometheus::Counter &restores_;
+    prometheus::Counter &missedChanges_;
     StoreEra era_; ///< The newest one seen in any answer.
     std::map<StoreTopic, FollowedTopic> topics_;
+    std::uint64_t lastCall_ = 0; ///< Number of the newest call.
     bool isReachable_ = false;
     bool knowsOthers_ = false; ///< Another member is known.
     std::mt19937_64 random_{std::random_device{}()};
--- a/Tests/Platform/StoreStandIn.cpp
+++ b/Tests/Platform/StoreStandIn.cpp
@@ -89,10 +89,11 @@
     const std::string_view target = request.target;
     const std::string topic(parameter(target, "topic"));
     if (target.starts_with("/chiverouter/log-newest")) {
-        respondNewest(topic, *exchange);
+        respondNewest(topic, exchange);
     } else if (target.starts_with("/chiverouter/log-read")) {
         const std::string_view from = parameter(target, "from");
-        Poll poll{topic, 0, std::move(exchange)};
+        const std::string_view wait = parameter(target, "waitMs");
+        Poll poll{topic, 0, !wait.empty() && wait != "0", std::move(exchange)};
         std::from_chars(from.data(), from.data() + from.size(), poll.from);
         if (!answerPoll(poll))
             polls_.push_back(std::move(poll));
@@ -100,16 +101,22 @@
         const auto [key, value] = parseRecord(bytesOf(request.body));
         const std::uint64_t offset = topics_[topic].size();
         write(topic, key, value);
-        respond(*exchange, 200, nlohmann::json{{"offset", offset}, {"end", offset + 1}}.dump());
+        respond(exchange, 200, nlohmann::json{{"offset", offset}, {"end", offset + 1}}.dump());
     }
 }
 
-void StoreStandIn::respond(HttpExchange &exchange, int status, std::string body) const
+void StoreStandIn::respond(const std::shared_ptr<HttpExchange> &exchange, int status,
+                           std::string body)
 {
-    exchange.respond({status, {{"Store-Era", std::to_string(era_)}}, makeBody(std::move(body))});
+    if (losesAnswers_) {
+        unanswered_.push_back(exchange);
+        return;
+    }
+    exchange->respond({status, {{"Store-Era", std::to_string(era_)}}, makeBody(std::move(body))});
 }
 
-void StoreStandIn::respondNewest(std::string_view topic, HttpExchange &exchange) const
+void StoreStandIn::respondNewest(std::string_view topic,
+                                 const std::shared_ptr<HttpExchange> &exchange)
 {
     nlohmann::json items = nlohmann::json::array();
     for (const auto &[key, value] : newest(topic)) {
@@ -122,15 +129,15 @@
             nlohmann::json{{"items", items}, {"hasMore", false}, {"end", end}}.dump());
 }
 
-bool StoreStandIn::answerPoll(const Poll &poll) const
+bool StoreStandIn::answerPoll(const Poll &poll)
 {
     const auto found = topics_.find(poll.topic);
     const std::size_t end = found == topics_.end() ? 0 : found->second.size();
     if (poll.from > end) {
-        respond(*poll.exchange, 410, R"({"first":0})");
+        respond(poll.exchange, 410, R"({"first":0})");
         return true;
     }
-    if (poll.from == end)
+    if (poll.from == end && poll.waits)
         return false;
     std::string body = number(end, offsetBytes) + number(0, offsetBytes);
     for (std::size_t offset = poll.from; offset < end; ++offset) {
@@ -139,7 +146,7 @@
         body += key;
         body += value;
     }
-    respond(*poll.exchange, 200, std::move(body));
+    respond(poll.exchange, 200, std::move(body));
     return true;
 }
 
--- a/Tests/Platform/StoreStandIn.h
+++ b/Tests/Platform/StoreStandIn.h
@@ -16,7 +16,8 @@
 
 namespace chive {
 
-/// Stands in for the platform's store: keyed topics, and a restore from an older copy.
+/// Stands in for the platform's store: keyed topics, a restore from an older copy, and outages in
+/// which answers are lost.
 class StoreStandIn
 {
 public:
@@ -42,6 +43,11 @@
     /// Goes back to the copy and begins a new era.
     void restore(Topics copy, Polls polls);
 
+    /// From now on every answer is lost, and nothing more comes on its connection, also when the
+    /// store is back. Long polls that are owed no answer survive.
+    void loseAnswers() { losesAnswers_ = true; }
+    void returnAnswers() { losesAnswers_ = false; }
+
     /// The newest value of each key.
     [[nodiscard]] std::map<std::string, std::string> newest(std::string_view topic) const;
 
@@ -52,19 +58,22 @@
     {
         std::string topic;
         std::uint64_t from = 0;
+        bool waits = false;
         std::shared_ptr<HttpExchange> exchange;
     };
 
     void handle(const HttpRequest &request, std::shared_ptr<HttpExchange> exchange);
-    void respond(HttpExchange &exchange, int status, std::string body) const;
-    void respondNewest(std::string_view topic, HttpExchange &exchange) const;
-    [[nodiscard]] bool answerPoll(const Poll &poll) const;
+    void respond(const std::shared_ptr<HttpExchange> &exchange, int status, std::string body);
+    void respondNewest(std::string_view topic, const std::shared_ptr<HttpExchange> &exchange);
+    [[nodiscard]] bool answerPoll(const Poll &poll);
     void answerPolls();
 
     Topics topics_;
     std::uint64_t era_ = 1;
     std::size_t calls_ = 0;
     std::vector<Poll> polls_;
+    bool losesAnswers_ = false;
+    std::vector<std::shared_ptr<HttpExchange>> unanswered_; ///< Their answers were lost.
     std::unique_ptr<HttpServer> server_;
 };
 
--- a/Tests/Platform/TestConfigurationTask.cpp
+++ b/Tests/Platform/TestConfigurationTask.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -60,6 +61,8 @@
     std::unique_ptr<Task> task = Registry<TaskPlugin>::find("configuration")->create(kernel);
     std::vector<Sent> sent;
     std::uint64_t version = 0;
+    std::size_t checks = 0;        ///< Of the store.
+    std::size_t repeatedReads = 0; ///< Of the store.
 
     Node()
     {
@@ -68,6 +71,8 @@
         kernel.bus().subscribe<SendToPeer>([this](const SendToPeer &message) {
             sent.push_back({message.peer, decodeConfigurationFrame(*message.payload).value()});
         });
+        kernel.bus().subscribe<CheckStore>([this](const CheckStore &) { ++checks; });
+        kernel.bus().subscribe<ReadStoreAgain>([this](const ReadStoreAgain &) { ++repeatedReads; });
         auto members = std::make_shared<const std::vector<Member>>(
                 std::vector<Member>{memberAt(nearPeer, "here"), memberAt(farPeer, "there")});
         kernel.bus().post(MembersChanged{std::move(members)});
@@ -81,11 +86,11 @@
         kernel.loop().run();
     }
 
-    void readFromStore(std::uint64_t newVersion)
+    void readFromStore(std::uint64_t newVersion, StoreReadKind kind = StoreReadKind::Change)
     {
         kernel.bus().post(StoreRead{StoreTopic::Configuration,
                                     {StoreEntry{"config", recordOf(newVersion), newVersion}},
-                                    false});
+                                    kind});
         runFor(Milliseconds(10));
     }
 
@@ -156,6 +161,109 @@
         node.runFor(longer);
         CHECK(node.requestsTo(farPeer) == 2);
     }
+
+    SUBCASE("reads the store again, once, as its waiting read may have lost the report")
+    {
+        node.receive(farPeer, {8, {}});
+        CHECK(node.repeatedReads == 0);
+        node.runFor(longer);
+        CHECK(node.repeatedReads == 1);
+        node.receive(farPeer, {8, {}});
+        node.runFor(longer);
+        CHECK(node.repeatedReads == 1);
+    }
+
+    SUBCASE("reads the store again if a peer was the first to send the record")
+    {
+        node.receive(farPeer, {8, recordOf(8)});
+        CHECK(node.version == 8);
+        CHECK(node.repeatedReads == 1);
+    }
+
+    SUBCASE("which no waiting read reported reads the store again at once and says so to others")
+    {
+        node.receive(farPeer, {8, {}, VersionReport::Missed, {}});
+        CHECK(node.repeatedReads == 1);
+        node.sent.clear();
+        node.readFromStore(8, StoreReadKind::Whole);
+        REQUIRE_FALSE(node.sent.empty());
+        CHECK(node.sent.front().frame.version == 8);
+        CHECK(node.sent.front().frame.report == VersionReport::Missed);
+
+        SUBCASE("until the next version is reported as usual")
+        {
+            node.sent.clear();
+            node.readFromStore(9);
+            REQUIRE_FALSE(node.sent.empty());
+            CHECK(node.sent.front().frame.report == VersionReport::Received);
+        }
+    }
+}
+
+TEST_CASE("A node checks the store")
+{
+    constexpr Milliseconds untilDue{6'000};
+    Node node;
+    node.readFromStore(7);
+
+    SUBCASE("while no other node says that it has an answer")
+    {
+        node.runFor(untilDue);
+        CHECK(node.checks > 0);
+    }
+
+    SUBCASE("unless another node has one about the version")
+    {
+        const std::optional<Milliseconds> justNow(0);
+        const auto confirm = [&](std::uint64_t version) {
+            for (Milliseconds waited{0}; waited < untilDue; waited += Milliseconds(250)) {
+                node.receive(farPeer, {version, {}, VersionReport::Received, justNow});
+                node.runFor(Milliseconds(240));
+            }
+        };
+        SUBCASE("that is in force")
+        {
+            confirm(7);
+            CHECK(node.checks == 0);
+        }
+        SUBCASE("as an earlier one proves nothing")
+        {
+            confirm(6);
+            CHECK(node.checks > 0);
+        }
+    }
+}
+
+TEST_CASE("A configuration frame keeps its meaning")
+{
+    const ConfigurationFrame frame{8, "record", VersionReport::Missed, Milliseconds(1'200)};
+
+    SUBCASE("through encoding and decoding")
+    {
+        const ConfigurationFrame decoded
+                = decodeConfigurationFrame(encodeConfigurationFrame(frame)).value();
+        CHECK(decoded.version == frame.version);
+        CHECK(decoded.record == frame.record);
+        CHECK(decoded.report == frame.report);
+        CHECK(decoded.confirmedAgo == frame.confirmedAgo);
+    }
+
+    SUBCASE("if an earlier release sent it")
+    {
+        std::string bytes;
+        nlohmann::json::to_cbor(nlohmann::json::array({8U, "record"}), bytes);
+        const ConfigurationFrame decoded = decodeConfigurationFrame(bytes).value();
+        CHECK(decoded.version == 8);
+        CHECK(decoded.report == VersionReport::Received);
+        CHECK_FALSE(decoded.confirmedAgo.has_value());
+    }
+
+    SUBCASE("and is refused if its members are of another type")
+    {
+        std::string bytes;
+        nlohmann::json::to_cbor(nlohmann::json::array({8U, "record", "missed", nullptr}), bytes);
+        CHECK_FALSE(decodeConfigurationFrame(bytes).has_value());
+    }
 }
 
 TEST_CASE("A node without a configuration asks the first peer that has one at once")
@@ -164,6 +272,9 @@
     node.sent.clear();
     node.receive(farPeer, {8, {}});
     CHECK(node.requestsTo(farPeer) >= 1);
+    node.receive(farPeer, {8, recordOf(8)});
+    CHECK(node.version == 8);
+    CHECK(node.repeatedReads == 0);
 }
 
 TEST_CASE("A node sends its record to a peer")
--- a/Tests/Platform/TestRestoredStore.cpp
+++ b/Tests/Platform/TestRestoredStore.cpp
@@ -55,7 +55,7 @@
         });
         kernel.bus().subscribe<StoreRead>([this](const StoreRead &read) {
             auto &values = seen[read.topic];
-            if (read.isWhole)
+            if (read.kind == StoreReadKind::Whole)
                 values.clear();
             for (const StoreEntry &entry : read.entries)
                 values.insert_or_assign(entry.key, entry.value);
