LibHttp: Bound the memory of responses by that of the machine

Cause: `maximum_held_bytes` was 96 MiB on every machine, also on those of 160 MB, and counted the bytes of bodies that were received. A string that grows by doubling holds up to three times as much while it grows, and heads were not counted.

Ruled out: a single response without a bound (TestEndlessResponse passed before) and a sum without one (the node's log says that responses exceeded the memory for them).

Change: `limits.memory_mb`, filled in from the platform's settings. Responses that are being received take at most a quarter of it together, one body at most half of that; the client counts what is held, in blocks of 64 KiB and with the heads. Beyond the bound the largest response fails as may-have-run, as before. Without the setting the bounds are as they were.

A line of TestParseSettings names line 24 instead of 23 since the file that it reads has the new key.

--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -83,7 +83,7 @@
     /// while nothing is due on them.
     void detectSilentConnections() { detectsSilence_ = true; }
 
-    /// From now on, the bodies of responses that are being received take at most that many bytes
+    /// From now on, the responses that are being received take at most that many bytes of memory
     /// together. Beyond that the request with the largest one fails.
     void limitBytesHeld(std::size_t most) { maximumBytesHeld_ = most; }
 
@@ -91,7 +91,7 @@
     /// is closed for a new one, and without any a request that needs a new one fails.
     void countIn(DescriptorShare &share) { share_ = &share; }
 
-    /// Bytes of the bodies of responses that are being received.
+    /// Bytes of memory that the responses take that are being received.
     [[nodiscard]] std::size_t bytesHeld() const { return bytesHeld_; }
 
     /// Sends the request; calls back exactly once, never inside this call. A request without a
--- a/Libraries/LibHttp/ResponseReader.cpp
+++ b/Libraries/LibHttp/ResponseReader.cpp
@@ -1,5 +1,7 @@
 #include <LibHttp/ResponseReader.h>
 
+#include <LibHttp/BodyBuffer.h>
+
 #include <http_parser.h>
 
 #include <utility>
@@ -27,8 +29,9 @@
     bool isHeadRead = false; ///< Fields that follow are trailers, which are dropped.
     std::size_t maximumBodySize = 0;
     std::size_t bytesTaken = 0; ///< With those of interim responses.
+    std::size_t headBytes = 0;  ///< Of the names and values in the response.
     HttpResponse response;
-    std::string body;
+    BodyBuffer body;
 
     static Parser &of(http_parser *machine) { return *static_cast<Parser *>(machine->data); }
 
@@ -37,6 +40,7 @@
         http_parser_init(&machine, HTTP_RESPONSE);
         machine.data = this;
         response = {};
+        headBytes = 0;
         body.clear();
         isNameOpen = false;
         isHeadRead = false;
@@ -57,7 +61,9 @@
             if (self.response.headers.size() == maximumHeaders)
                 return 1;
             self.response.headers.emplace_back();
+            self.headBytes += sizeof(Header);
         }
+        self.headBytes += size;
         self.response.headers.back().first.append(bytes, size);
         return 0;
     }
@@ -68,6 +74,7 @@
         if (self.isHeadRead)
             return 0;
         self.isNameOpen = false;
+        self.headBytes += size;
         self.response.headers.back().second.append(bytes, size);
         return 0;
     }
@@ -85,7 +92,7 @@
         Parser &self = of(machine);
         if (self.body.size() + size > self.maximumBodySize)
             return 1;
-        self.body.append(bytes, size);
+        self.body.append({bytes, size});
         return 0;
     }
 
@@ -154,7 +161,7 @@
 
 std::size_t ResponseReader::bytesHeld() const
 {
-    return parser_->body.size();
+    return parser_->headBytes + parser_->body.bytesHeld();
 }
 
 bool ResponseReader::keepsConnection() const
@@ -165,8 +172,9 @@
 HttpResponse ResponseReader::take()
 {
     parser_->response.status = static_cast<int>(parser_->machine.status_code);
-    if (!parser_->body.empty())
-        parser_->response.body = makeBody(std::move(parser_->body));
+    if (parser_->body.size() > 0)
+        parser_->response.body = makeBody(parser_->body.take());
+    parser_->headBytes = 0;
     return std::move(parser_->response);
 }
 
--- a/Libraries/LibHttp/ResponseReader.h
+++ b/Libraries/LibHttp/ResponseReader.h
@@ -36,7 +36,7 @@
 
     [[nodiscard]] State state() const;
 
-    /// Of the body.
+    /// Bytes of memory that the head and the body take.
     [[nodiscard]] std::size_t bytesHeld() const;
 
     /// Whether the server keeps the connection open after this response.
--- a/Libraries/LibSettings/ParseSettings.cpp
+++ b/Libraries/LibSettings/ParseSettings.cpp
@@ -13,6 +13,8 @@
 
 constexpr IntegerRange bodySizeRange{1'024, 1'073'741'824, "bytes"};
 constexpr IntegerRange heldBytesRange{1'024, 68'719'476'736, "bytes"};
+constexpr IntegerRange memoryRange{16, 1'048'576, "MB"};
+constexpr std::size_t bytesPerMegabyte = 1'000'000;
 constexpr IntegerRange drainTimeoutRange{0, 3'600'000, "ms"};
 constexpr IntegerRange descriptorRange{128, 1'048'576, "descriptors"};
 constexpr IntegerRange leaseRange{100, 3'600'000, "ms"};
@@ -138,6 +140,9 @@
     settings.maximumBytesHeld = static_cast<std::size_t>(
             table->integer("maximum_held_bytes",
                            static_cast<std::int64_t>(settings.maximumBytesHeld), heldBytesRange));
+    if (table->has("memory_mb"))
+        settings.memory = static_cast<std::size_t>(table->integer("memory_mb", 0, memoryRange))
+                          * bytesPerMegabyte;
     settings.drainTimeout = Milliseconds(
             table->integer("drain_timeout_ms", settings.drainTimeout.count(), drainTimeoutRange));
     parseStopGrace(*table, settings);
--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace chive {
@@ -40,4 +41,22 @@
     return settings.backing == Settings::Backing::Store;
 }
 
+std::size_t maximumResponseBytesHeld(const Settings &settings)
+{
+    // The rest is for requests, for the copies of whole responses on links, and the process itself.
+    constexpr std::size_t divisor = 4;
+    if (settings.memory == 0)
+        return settings.maximumBytesHeld;
+    return std::min(settings.maximumBytesHeld, settings.memory / divisor);
+}
+
+std::size_t maximumResponseBodySize(const Settings &settings)
+{
+    // One response must not take the memory of all others.
+    constexpr std::size_t divisor = 2;
+    if (settings.memory == 0)
+        return settings.maximumBodySize;
+    return std::min(settings.maximumBodySize, maximumResponseBytesHeld(settings) / divisor);
+}
+
 } // namespace chive
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -60,6 +60,7 @@
 
     std::size_t maximumBodySize = 8 * 1024 * 1024;   ///< Bytes, per request and per answer.
     std::size_t maximumBytesHeld = 24 * 1024 * 1024; ///< Bytes of all bodies held at once.
+    std::size_t memory = 0;             ///< Bytes that this process may take; 0: unknown.
     Milliseconds drainTimeout{30'000};  ///< How long a planned stop waits for work in flight.
     std::size_t maximumDescriptors = 0; ///< Of this process; 0: the operating system's limit.
     std::string logDirectory;           ///< glog files; empty logs to standard error.
@@ -81,6 +82,13 @@
 [[nodiscard]] bool usesLog(const Settings &settings);
 [[nodiscard]] bool usesStore(const Settings &settings);
 
+/// Bytes of memory that the responses of the target may take together while they are received: a
+/// quarter of the process's memory, at most `maximumBytesHeld`.
+[[nodiscard]] std::size_t maximumResponseBytesHeld(const Settings &settings);
+
+/// Bytes of the largest body of a response of the target: half of those, at most `maximumBodySize`.
+[[nodiscard]] std::size_t maximumResponseBodySize(const Settings &settings);
+
 /// Parses and checks the text of a settings file. Every mistake is reported, one line each, as
 /// `name:line: what was expected`.
 [[nodiscard]] Result<Settings> parseSettings(std::string_view text, std::string_view fileName);
--- a/Services/Node/LocalTarget.cpp
+++ b/Services/Node/LocalTarget.cpp
@@ -192,9 +192,9 @@
     if (client_ != nullptr && client_->inFlight() > 0)
         retiredClients_.push_back(std::move(client_));
     client_ = std::make_unique<HttpClient>(kernel_.loop(), held().endpoint,
-                                           kernel_.settings().maximumBodySize);
+                                           maximumResponseBodySize(kernel_.settings()));
     client_->countIn(kernel_.descriptors().target);
-    client_->limitBytesHeld(kernel_.settings().maximumBytesHeld);
+    client_->limitBytesHeld(maximumResponseBytesHeld(kernel_.settings()));
 }
 
 void LocalTarget::publishChange()
--- a/Tests/Harness/Process.cpp
+++ b/Tests/Harness/Process.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <doctest/doctest.h>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <thread>
@@ -64,6 +65,18 @@
     return pid_ != 0 && !status_;
 }
 
+std::size_t Process::peakMemory() const
+{
+    constexpr std::size_t bytesPerKilobyte = 1'024;
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string name; status >> name;) {
+        std::size_t kilobytes = 0;
+        if (name == "VmHWM:" && status >> kilobytes)
+            return kilobytes * bytesPerKilobyte;
+    }
+    return 0;
+}
+
 void Process::kill()
 {
     if (!isRunning())
--- a/Tests/Harness/Process.h
+++ b/Tests/Harness/Process.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Clock.h>
 
+#include <cstddef>
 #include <future>
 #include <optional>
 #include <string>
@@ -24,6 +25,9 @@
 
     [[nodiscard]] bool isRunning();
 
+    /// The most resident memory that it has had, in bytes; 0 if it does not run.
+    [[nodiscard]] std::size_t peakMemory() const;
+
     /// SIGKILL, and waits for the end.
     void kill();
     /// SIGTERM, without waiting.
--- a/Tests/LibHttp/TestEndlessResponse.cpp
+++ b/Tests/LibHttp/TestEndlessResponse.cpp
@@ -94,6 +94,33 @@
     CHECK(reader.state() == State::Malformed);
 }
 
+TEST_CASE("A reader takes little more memory than the bytes that it keeps")
+{
+    constexpr std::size_t allowance = 128 * 1024; // Two blocks.
+    ResponseReader reader("GET", tooMany);
+    reader.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::string chunk = "1000\r\n" + std::string(0x1000, 'x') + "\r\n";
+    std::size_t size = 0;
+    for (int i = 0; i < 1'000; ++i) {
+        reader.feed(chunk);
+        size += 0x1000;
+        REQUIRE(reader.bytesHeld() >= size);
+        REQUIRE(reader.bytesHeld() <= size + allowance);
+    }
+    reader.feed("0\r\n\r\n");
+    REQUIRE(reader.state() == State::Complete);
+    const HttpResponse response = reader.take();
+    CHECK(bytesOf(response.body) == std::string(size, 'x'));
+    CHECK(reader.bytesHeld() == 0);
+
+    SUBCASE("of a head, too")
+    {
+        ResponseReader open("GET", bodyLimit);
+        open.feed("HTTP/1.1 200 OK\r\nX-Long: " + std::string(50'000, 'x'));
+        CHECK(open.bytesHeld() >= 50'000);
+    }
+}
+
 TEST_CASE("Responses to other requests without end fail the request and close its connection")
 {
     EventLoop loop;
--- a/Tests/LibSettings/TestParseSettings.cpp
+++ b/Tests/LibSettings/TestParseSettings.cpp
@@ -28,6 +28,7 @@
 maximum_body_bytes = 1048576
 maximum_held_bytes = 4194304
 drain_timeout_ms = 5000
+memory_mb = 160
 
 [policies]
 choice = "two-choices"
@@ -65,6 +66,7 @@
         CHECK(settings.value().peers.size() == 2);
         CHECK(settings.value().maximumBytesHeld == 4'194'304);
         CHECK(settings.value().drainTimeout == Milliseconds(5000));
+        CHECK(settings.value().memory == 160'000'000);
     }
 
     SUBCASE("with the time between SIGTERM and SIGKILL, before which the drain must end")
@@ -77,6 +79,26 @@
         CHECK(settings.value().drainTimeout < Milliseconds(10500));
     }
 
+    SUBCASE("with the memory of the process, which bounds the target's responses")
+    {
+        const std::string text
+                = replaced(replaced(wholeFile, "maximum_body_bytes = 1048576",
+                                    "maximum_body_bytes = 67108864"),
+                           "maximum_held_bytes = 4194304", "maximum_held_bytes = 100663296");
+        const Settings small = parseSettings(text, "node.toml").value();
+        CHECK(maximumResponseBytesHeld(small) == 40'000'000);
+        CHECK(maximumResponseBodySize(small) == 20'000'000);
+        const Settings large
+                = parseSettings(replaced(text, "memory_mb = 160", "memory_mb = 4096"), "node.toml")
+                          .value();
+        CHECK(maximumResponseBytesHeld(large) == 100'663'296);
+        CHECK(maximumResponseBodySize(large) == 50'331'648);
+        const Settings unknown
+                = parseSettings(replaced(text, "memory_mb = 160\n", ""), "node.toml").value();
+        CHECK(maximumResponseBytesHeld(unknown) == 100'663'296);
+        CHECK(maximumResponseBodySize(unknown) == 67'108'864);
+    }
+
     SUBCASE("with only what has no default")
     {
         const Result<Settings> settings
@@ -128,7 +150,7 @@
     SUBCASE("an unknown key")
     {
         CHECK(mistakesIn(replaced(wholeFile, "choice =", "chioce ="))
-              == "node.toml:23: unknown key policies.chioce");
+              == "node.toml:24: unknown key policies.chioce");
     }
 
     SUBCASE("a missing key")
--- a/Utilities/StandIns/CuttingTarget.cpp
+++ b/Utilities/StandIns/CuttingTarget.cpp
@@ -48,6 +48,25 @@
     return std::min<std::uint64_t>(numberInQuery(path, "cut", unset), response.size());
 }
 
+/// What an endless response begins with and what it repeats.
+struct EndlessResponse
+{
+    std::string beginning;
+    std::string repeated;
+};
+
+EndlessResponse endlessResponse(const std::string &path, const std::string &call)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nChive-Call: " + call + "\r\n";
+    if (path.find("endless=chunks") != std::string::npos) {
+        const std::string chunk(16'384, 'x');
+        return {head + "Transfer-Encoding: chunked\r\n\r\n", "4000\r\n" + chunk + "\r\n"};
+    }
+    if (path.find("endless=head") != std::string::npos)
+        return {head, "X-More: " + std::string(1'000, 'x') + "\r\n"};
+    return {"", "no response "};
+}
+
 std::string wireFormat(const std::string &call, const std::string &body)
 {
     return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nChive-Call: " + call
@@ -61,6 +80,7 @@
     CuttingTarget &server;
     std::unique_ptr<bufferevent, decltype(&bufferevent_free)> handle;
     std::string input;
+    std::string repeated; ///< Sent again and again until the caller closes; empty: nothing is.
 };
 
 CuttingTarget::CuttingTarget(EventLoop &loop, const Clock &clock, Options options)
@@ -109,7 +129,7 @@
 {
     bufferevent *handle = bufferevent_socket_new(loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE);
     connections_.push_back(
-            std::make_unique<Connection>(Connection{*this, {handle, bufferevent_free}, {}}));
+            std::make_unique<Connection>(Connection{*this, {handle, bufferevent_free}, {}, {}}));
     const auto onReadable = [](bufferevent *, void *argument) {
         auto *connection = static_cast<Connection *>(argument);
         connection->server.handleReadable(*connection);
@@ -118,7 +138,10 @@
         auto *connection = static_cast<Connection *>(argument);
         connection->server.close(*connection);
     };
-    bufferevent_setcb(handle, onReadable, nullptr, onEvent, connections_.back().get());
+    const auto onWritten = [](bufferevent *, void *argument) {
+        sendEndless(*static_cast<Connection *>(argument));
+    };
+    bufferevent_setcb(handle, onReadable, onWritten, onEvent, connections_.back().get());
     bufferevent_enable(handle, EV_READ | EV_WRITE);
 }
 
@@ -147,6 +170,14 @@
     if (path != "/health")
         executions_.finish(executions_.begin(std::move(record)), RunEnd::Answered, okStatus);
 
+    if (path.find("endless=") != std::string::npos) {
+        EndlessResponse endless = endlessResponse(path, headerIn(request, "Chive-Call"));
+        connection.repeated = std::move(endless.repeated);
+        bufferevent_write(connection.handle.get(), endless.beginning.data(),
+                          endless.beginning.size());
+        sendEndless(connection);
+        return;
+    }
     const int socket = bufferevent_getfd(connection.handle.get());
     const std::size_t sentSize = sizeToSend(path, response);
     [[maybe_unused]] const ssize_t size = send(socket, response.data(), sentSize, MSG_NOSIGNAL);
@@ -159,6 +190,17 @@
     close(connection);
 }
 
+void CuttingTarget::sendEndless(Connection &connection)
+{
+    if (connection.repeated.empty())
+        return;
+    constexpr std::size_t leastWritten = 65'536;
+    std::string bytes;
+    while (bytes.size() < leastWritten)
+        bytes += connection.repeated;
+    bufferevent_write(connection.handle.get(), bytes.data(), bytes.size());
+}
+
 void CuttingTarget::close(const Connection &connection)
 {
     std::erase_if(connections_, [&](const auto &open) { return open.get() == &connection; });
--- a/Utilities/StandIns/CuttingTarget.h
+++ b/Utilities/StandIns/CuttingTarget.h
@@ -20,8 +20,9 @@
 /// Stands in for a target that fails within the heads of its responses, on raw sockets. A request
 /// whose query names `cut` gets that many bytes of the response, one whose query names `short` gets
 /// the head without that many of its last bytes. The query's `by` says what follows: `close`,
-/// `reset`, or `silence`, which leaves the connection open. Other requests are answered. Requests
-/// must have no body.
+/// `reset`, or `silence`, which leaves the connection open. A request whose query names `endless`
+/// gets `chunks` of a body, lines of a `head` or bytes that are no `response` until the caller
+/// closes. Other requests are answered. Requests must have no body.
 class CuttingTarget
 {
 public:
@@ -48,6 +49,7 @@
     void accept(int socket);
     void handleReadable(Connection &connection);
     void answer(Connection &connection, const std::string &request);
+    static void sendEndless(Connection &connection);
     void close(const Connection &connection);
     void announce();
 
