StoreTask: Say what its steps are for

Comments only. A reader of the change could not see from the names when an answer is ignored, why a read is sent twice and who asks for another read.

--- a/Services/Node/StoreTask.cpp
+++ b/Services/Node/StoreTask.cpp
@@ -115,6 +115,7 @@
             loadNewest(topic, {});
     }
 
+    /// Sends a call for the topic. Its answer is ignored once the call was abandoned.
     template<typename Handler>
     void call(StoreTopic topic, const HttpRequest &request, Milliseconds timeout, Handler handle)
     {
@@ -136,6 +137,7 @@
             client_.cancel(id);
     }
 
+    /// Reads a page of the newest values, with a second call while the first one has no answer.
     void loadNewest(StoreTopic topic, const std::string &afterKey)
     {
         FollowedTopic &followed = topics_.at(topic);
@@ -167,6 +169,7 @@
         }
     }
 
+    /// Another node has a change that this node's waiting read did not report.
     void readAgain(StoreTopic topic)
     {
         const auto found = topics_.find(topic);
@@ -179,7 +182,7 @@
         restartWaitingReads();
     }
 
-    /// For the topics whose waiting read may have lost its answer as well.
+    /// After one waiting read lost its answer, as those of the other topics may have lost theirs.
     void restartWaitingReads()
     {
         for (auto &[topic, followed] : topics_) {
