ChiveRouter: Take the memory of the process as an option

The line `event=start` says which memory is in force.

Ruled out: reading the machine's memory from the system, which says nothing where several processes share a machine.

--- a/Libraries/LibSettings/ParseSettings.cpp
+++ b/Libraries/LibSettings/ParseSettings.cpp
@@ -190,6 +190,16 @@
 
 } // namespace
 
+std::optional<std::size_t> memoryFromMegabytes(std::string_view text)
+{
+    std::int64_t megabytes = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), megabytes);
+    const bool isNumber = error == std::errc() && end == text.data() + text.size();
+    if (!isNumber || megabytes < memoryRange.least || megabytes > memoryRange.most)
+        return std::nullopt;
+    return static_cast<std::size_t>(megabytes) * bytesPerMegabyte;
+}
+
 Result<Settings> parseSettings(std::string_view text, std::string_view fileName)
 {
     TomlMistakes mistakes(fileName);
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -82,6 +82,10 @@
 [[nodiscard]] bool usesLog(const Settings &settings);
 [[nodiscard]] bool usesStore(const Settings &settings);
 
+/// The bytes of a number of megabytes, as `limits.memory_mb` has them; nothing if it is no whole
+/// number of 16 to 1,048,576.
+[[nodiscard]] std::optional<std::size_t> memoryFromMegabytes(std::string_view text);
+
 /// Bytes of memory that the responses of the target may take together while they are received: a
 /// quarter of the process's memory, at most `maximumBytesHeld`.
 [[nodiscard]] std::size_t maximumResponseBytesHeld(const Settings &settings);
--- a/Services/ChiveRouter/NodeCommand.cpp
+++ b/Services/ChiveRouter/NodeCommand.cpp
@@ -6,6 +6,8 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <iostream>
+#include <optional>
 #include <unistd.h>
 
 namespace chive {
@@ -80,10 +82,25 @@
         fcntl(STDERR_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
+/// Whether the option is valid; it goes before the settings file.
+bool applyMemoryOption(const ParsedArguments &arguments, Settings &settings)
+{
+    const auto option = arguments.find("--memory-mb");
+    if (option == arguments.end() || !option->second.isString())
+        return true;
+    const std::optional<std::size_t> memory = memoryFromMegabytes(option->second.asString());
+    if (!memory) {
+        std::cerr << "--memory-mb: expected a whole number of 16 to 1048576 MB\n";
+        return false;
+    }
+    settings.memory = *memory;
+    return true;
+}
+
 ExitCode runNode(ParsedArguments &arguments)
 {
-    const std::optional<Settings> settings = readSettings(arguments["--settings"].asString());
-    if (!settings)
+    std::optional<Settings> settings = readSettings(arguments["--settings"].asString());
+    if (!settings || !applyMemoryOption(arguments, *settings))
         return ExitCode::InvalidInput;
     if (!settings->logDirectory.empty()) {
         FLAGS_logtostderr = false;
@@ -97,7 +114,8 @@
     const Shutdown shutdown(kernel);
     const std::string path = arguments["--settings"].asString();
     kernel.loop().onSignal(SIGHUP, [&path] { checkAgain(path); });
-    LOG(INFO) << "event=start node=" << settings->nodeId << " data_centre=" << settings->dataCentre;
+    LOG(INFO) << "event=start node=" << settings->nodeId << " data_centre=" << settings->dataCentre
+              << " memory=" << settings->memory;
     kernel.run();
     return shutdown.exitCode();
 }
@@ -107,10 +125,11 @@
         "runs the node beside a target",
         "Runs the node beside a target until SIGTERM, then finishes what is in flight.\n\n"
         "Usage:\n"
-        "  chiverouter node --settings=FILE\n"
+        "  chiverouter node --settings=FILE [--memory-mb=MB]\n"
         "  chiverouter node (-h | --help)\n\n"
         "Options:\n"
-        "  --settings=FILE  The settings of the node (TOML).\n",
+        "  --settings=FILE  The settings of the node (TOML).\n"
+        "  --memory-mb=MB   The memory of this process, in place of limits.memory_mb.\n",
         [](const CommandPlugin &command, std::span<const std::string> arguments) {
             return withArguments(command, arguments, runNode);
         },
--- a/Tests/LibSettings/TestParseSettings.cpp
+++ b/Tests/LibSettings/TestParseSettings.cpp
@@ -176,6 +176,14 @@
     }
 }
 
+TEST_CASE("The memory of a process is a whole number of megabytes")
+{
+    CHECK(memoryFromMegabytes("160") == 160'000'000U);
+    for (const char *text :
+         {"", "0", "-1", "15", "160.5", "160 ", "{{limits.memoryMb}}", "1048577"})
+        CHECK_FALSE(memoryFromMegabytes(text).has_value());
+}
+
 TEST_CASE("Damaged settings are rejected or valid, never fatal")
 {
     constexpr int rounds = 20'000;
