--- a/Libraries/LibNode/ConfigurationFrame.cpp
+++ b/Libraries/LibNode/ConfigurationFrame.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t shortestFrame = 2; ///< Of releases that send no report and no confirmation.
 constexpr std::size_t wholeFrame = 4;
-constexpr std::uint64_t longestAge = 86'400'000; ///< Older confirmations are of no use.
+constexpr std::uint64_t longestAge = 86'400'000; ///< ms; older confirmations are of no use.
 
 bool isAge(const nlohmann::json &part)
 {
--- a/Libraries/LibPolicy/StoreChecks.h
+++ b/Libraries/LibPolicy/StoreChecks.h
@@ -27,6 +27,7 @@
 /// How long a node of this rank goes without an answer of the store to anyone before it asks.
 [[nodiscard]] Milliseconds storeCheckInterval(std::size_t rank);
 
+/// Whether neither an answer to anyone nor a check of this node lies within its interval.
 [[nodiscard]] bool isStoreCheckDue(const StoreChecks &checks, std::size_t rank, TimePoint now);
 
 } // namespace chive
--- a/Services/ChiveRouter/NodeCommand.cpp
+++ b/Services/ChiveRouter/NodeCommand.cpp
@@ -82,7 +82,7 @@
         fcntl(STDERR_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
-/// Whether the option is valid; it goes before the settings file.
+/// Whether the option is valid. It takes precedence over the settings file.
 bool applyMemoryOption(const ParsedArguments &arguments, Settings &settings)
 {
     const auto option = arguments.find("--memory-mb");
