LibCatalogue: Add customers, and the interfaces of the parts that need them

Cause: two deployments need customers with keys and quotas, and placing by work.

Ruled out: a field for the customer in every call on a link, which would cost a byte a call in deployments without customers.

--- a/Libraries/LibCatalogue/Catalogue.h
+++ b/Libraries/LibCatalogue/Catalogue.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibCatalogue/Customer.h>
+#include <LibCatalogue/Importance.h>
 #include <LibCore/Clock.h>
 
 #include <cstdint>
@@ -10,17 +12,6 @@
 
 namespace chive {
 
-/// The importance of a kind of request. Under overload, higher values are shed first. It is set
-/// once, at the entry node, and inherited by every nested call.
-enum class Importance : std::uint8_t {
-    Critical = 0,
-    High = 1,
-    Normal = 2,
-    Low = 3,
-};
-
-inline constexpr std::size_t importanceLevels = 4;
-
 /// How often a request of a kind may run, which decides whether it may be retried.
 enum class Repetition : std::uint8_t {
     Idempotent, ///< Any number of times; may be retried even if it may have run.
@@ -80,6 +71,7 @@
     Kind kind;              ///< Its deadline is the longest time that a request may wait.
     Milliseconds latencyObjective{1'000}; ///< Answers within it have the highest value.
     std::vector<RouteShare> shares;       ///< Never empty.
+    bool isOpen = false;                  ///< Requests need no customer's key.
 
     bool operator==(const Route &) const = default;
 };
@@ -101,6 +93,8 @@
     std::uint64_t offset = 0;  ///< Offset of that note in the log.
     std::uint64_t version = 0; ///< Number of accepted notes.
     std::map<std::string, Service, std::less<>> services;
+    std::map<std::string, Customer, std::less<>>
+            customers; ///< By name; empty: none are told apart.
     RouteTable routes; ///< For requests identified by host and path instead of by service.
     Milliseconds idleTimeout{0}; ///< Idle timeout of callers' connections; 0: none.
     Milliseconds headTimeout{0}; ///< Within which the head of a caller's request comes; 0: none.
@@ -115,6 +109,4 @@
 [[nodiscard]] const Kind *findKind(const Service &service, std::string_view method,
                                    std::string_view path);
 
-[[nodiscard]] std::string_view nameOf(Importance importance);
-
 } // namespace chive
--- a/Libraries/LibCore/Verdict.cpp
+++ b/Libraries/LibCore/Verdict.cpp
@@ -16,7 +16,7 @@
         {Execution::HasRun, "has-run"},
 }};
 
-constexpr std::array<NameEntry<Reason>, 19> reasonNames{{
+constexpr std::array<NameEntry<Reason>, 21> reasonNames{{
         {Reason::BadRequest, "bad-request"},
         {Reason::UnknownService, "unknown-service"},
         {Reason::UnknownKind, "unknown-kind"},
@@ -36,6 +36,8 @@
         {Reason::LinkLost, "link-lost"},
         {Reason::Cancelled, "cancelled"},
         {Reason::NotReady, "not-ready"},
+        {Reason::UnknownKey, "unknown-key"},
+        {Reason::QuotaExceeded, "quota-exceeded"},
 }};
 
 template<typename Table, typename Value>
--- a/Libraries/LibCore/Verdict.h
+++ b/Libraries/LibCore/Verdict.h
@@ -36,7 +36,9 @@
     IncompleteAnswer,  ///< The answer was shorter than declared, or its end was not detectable.
     LinkLost,          ///< The link to the other node broke before the answer arrived.
     Cancelled,
-    NotReady, ///< The node has no configuration yet.
+    NotReady,      ///< The node has no configuration yet, or knows of a newer one.
+    UnknownKey,    ///< No customer has the key that the request carries.
+    QuotaExceeded, ///< The customer's quota is used up.
 };
 
 /// The refusal of a request: the reason, and whether the request may have run. Only NotRun permits
--- a/Libraries/LibNode/Call.h
+++ b/Libraries/LibNode/Call.h
@@ -34,6 +34,8 @@
     std::string key;         ///< Idempotency key; empty if the caller gave none.
     std::string fingerprint; ///< Digest of service, method, path and body.
 
+    std::string customer; ///< At the root of the tree of calls; empty: none.
+
     Importance importance = Importance::Normal;
     Repetition repetition = Repetition::Guarded;
     Duration duration = Duration::Short;
--- a/Libraries/LibNode/CallCodec.cpp
+++ b/Libraries/LibNode/CallCodec.cpp
@@ -76,6 +76,7 @@
     {}
 
     const json &next() { return list_.at(position_++); }
+    [[nodiscard]] bool isAtEnd() const { return position_ >= list_.size(); }
 
 private:
     const json &list_;
@@ -132,7 +133,7 @@
     ArrayReader fields(value);
     Verdict verdict;
     verdict.execution = decodeEnum(fields.next(), Execution::HasRun);
-    verdict.reason = decodeEnum(fields.next(), Reason::NotReady);
+    verdict.reason = decodeEnum(fields.next(), Reason::QuotaExceeded);
     verdict.retriedBelow = fields.next().get<bool>();
     verdict.hasReachedTarget = fields.next().get<bool>();
     verdict.detail = fields.next().get<std::string>();
@@ -163,7 +164,7 @@
 std::string encodeCall(Token token, const Call &call, TimePoint now)
 {
     const auto left = std::chrono::duration_cast<Milliseconds>(call.deadline - now);
-    const json head = json::array({
+    json head = json::array({
             token,
             call.requestId,
             call.service,
@@ -183,6 +184,8 @@
             call.isNested,
             encodeAllowance(call.allowance),
     });
+    if (!call.customer.empty())
+        head.push_back(call.customer);
     return joinFrame(head, bytesOf(call.body));
 }
 
@@ -214,6 +217,8 @@
                                     Milliseconds(0), maximumDeadline);
         call.isNested = fields.next().get<bool>();
         call.allowance = decodeAllowance(fields.next());
+        if (!fields.isAtEnd())
+            call.customer = fields.next().get<std::string>();
         call.body = copyBody(parts.body);
         return peer;
     });
--- a/Libraries/LibNode/Inbound.cpp
+++ b/Libraries/LibNode/Inbound.cpp
@@ -106,6 +106,7 @@
     nested.requestId = parent.requestId;
     nested.isNested = true;
     nested.importance = parent.importance;
+    nested.customer = parent.customer;
     nested.deadline = std::min(parent.deadline, nested.deadline);
 }
 
@@ -131,6 +132,10 @@
     case Reason::BadRequest:
     case Reason::MissingKey:
         return 400;
+    case Reason::UnknownKey:
+        return 401;
+    case Reason::QuotaExceeded:
+        return 429;
     case Reason::UnknownService:
     case Reason::UnknownKind:
         return 404;
--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -77,6 +77,7 @@
     Configuration = 9,
     Pressure = 10,        ///< Pressure reports sent to collectors.
     PressureSummary = 11, ///< Summaries sent by collectors.
+    Quota = 12,           ///< Tokens of customers' quotas, asked for and lent.
 };
 
 /// The traffic class of a frame. Each class has its own connections, so that short calls and
@@ -294,6 +295,29 @@
     std::shared_ptr<const MeshPressure> mesh;
 };
 
+// Quotas of customers.
+
+/// Entry task to quota task: may this request of a customer run within the customer's quota?
+struct TokensWanted
+{
+    Token token = 0;
+    std::string customer;
+};
+
+/// The reply to TokensWanted.
+struct TokensDecided
+{
+    Token token = 0;
+    bool isGranted = false;
+    Milliseconds retryAfter{0}; ///< When there will be room, unless it is granted.
+};
+
+/// Entry task to quota task: a request for which a token was granted has not run, and will not.
+struct TokensReturned
+{
+    std::string customer;
+};
+
 // Status reports.
 
 /// Status task to mesh status task: ask every member for its report.
--- a/Libraries/LibSettings/ParseSettings.cpp
+++ b/Libraries/LibSettings/ParseSettings.cpp
@@ -167,6 +167,19 @@
     table->rejectUnknownKeys();
 }
 
+void parseQuotas(TomlTable &file, Settings &settings)
+{
+    auto table = file.table("quotas", Presence::Optional);
+    if (!table)
+        return;
+    Settings::QuotaBound bound;
+    bound.window = secondsOf(number(*table, "window_s"));
+    bound.overage = number(*table, "overage");
+    bound.slack = number(*table, "slack");
+    settings.quotaBound = bound;
+    table->rejectUnknownKeys();
+}
+
 void parsePolicies(TomlTable &file, Settings &settings)
 {
     auto table = file.table("policies", Presence::Optional);
@@ -218,6 +231,7 @@
     parseMesh(*file, settings);
     parseLimits(*file, settings);
     parseRetries(*file, settings);
+    parseQuotas(*file, settings);
     parsePolicies(*file, settings);
     parseLogging(*file, settings);
     file->rejectUnknownKeys();
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -74,6 +74,15 @@
     };
     std::optional<RetryBound> retryBound; ///< Nothing: each node keeps a bound of its own.
 
+    /// The margins within which all nodes together keep the quotas of customers.
+    struct QuotaBound
+    {
+        Milliseconds window{5'000}; ///< Any span of this length counts.
+        double overage = 0.0;       ///< Share of the quota that may be exceeded.
+        double slack = 0.0;         ///< Requests that may be exceeded besides.
+    };
+    std::optional<QuotaBound> quotaBound; ///< Nothing: quotas are not enforced.
+
     std::string choicePolicy = "two-choices"; ///< Plug-in that chooses the target.
     std::string admissionPolicy = "adaptive"; ///< Plug-in that admits work at a target.
 };
--- a/Services/Node/LinkFrame.cpp
+++ b/Services/Node/LinkFrame.cpp
@@ -10,7 +10,7 @@
 
 using nlohmann::json;
 
-constexpr auto lastTopic = Topic::PressureSummary;
+constexpr auto lastTopic = Topic::Quota;
 
 } // namespace
 
@@ -43,6 +43,8 @@
     case Topic::Pressure:
     case Topic::PressureSummary:
         return "load";
+    case Topic::Quota:
+        return "quotas";
     case Topic::Once:
     case Topic::Quarantine:
     case Topic::Status:
