LibKernel: Write to sockets directly instead of waiting for them first

Ruled out: the change list of libevent, which is in use already and only joins changes of the same round; writing at once at each add, which would split frames that are written together today.

Change: SocketWriter writes the output of a bufferevent after the callbacks that are active, and lets libevent wait only while the socket is full. Used by the HTTP server, the HTTP client and the links.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include <LibHttp/ResponseReader.h>
 #include <LibKernel/EventLoop.h>
 #include <LibKernel/Socket.h>
+#include <LibKernel/SocketWriter.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -14,6 +15,7 @@
 #include <cerrno>
 #include <charconv>
 #include <functional>
+#include <optional>
 #include <system_error>
 #include <utility>
 
@@ -100,6 +102,7 @@
     HttpClient &client;
     DescriptorLease lease;
     bufferevent *handle = nullptr;
+    std::optional<SocketWriter> writer;
     Active *active = nullptr;  ///< The request that is out, or null while idle.
     std::size_t bytesSent = 0; ///< Of the current request, as taken by the kernel.
     bool hasAnswered = false;  ///< A response has come on it before.
@@ -125,11 +128,17 @@
             auto *self = static_cast<Connection *>(argument);
             self->client.handleEvent(*self, what);
         };
-        bufferevent_setcb(handle, onReadable, nullptr, onEvent, this);
-        bufferevent_enable(handle, EV_READ | EV_WRITE);
+        const auto onDrained = [](bufferevent *, void *argument) {
+            static_cast<Connection *>(argument)->writer->handleDrained();
+        };
+        bufferevent_setcb(handle, onReadable, onDrained, onEvent, this);
+        bufferevent_disable(handle, EV_WRITE);
+        bufferevent_enable(handle, EV_READ);
+        writer.emplace(owner.loop_.base(), handle, nullptr);
     }
     ~Connection()
     {
+        writer->stop();
         // libevent would close the socket later, but the lease ends now.
         const evutil_socket_t socket = bufferevent_getfd(handle);
         if (socket >= 0) {
@@ -286,6 +295,7 @@
     evbuffer *output = bufferevent_get_output(connection.handle);
     const std::string head = formatHead(request, server_);
     evbuffer_add(output, head.data(), head.size());
+    connection.writer->writeSoon();
     const std::string_view body = bytesOf(request.body);
     if (body.empty())
         return;
@@ -370,6 +380,7 @@
         disableNagle(bufferevent_getfd(connection.handle));
         if (detectsSilence_)
             failWhenSilent(bufferevent_getfd(connection.handle));
+        connection.writer->start();
         return;
     }
     if (connection.active == nullptr) {
@@ -461,6 +472,7 @@
         keepIdle(std::move(connection));
     } else if (connection != nullptr) {
         // No further event may reach a connection that waits to be freed.
+        connection->writer->stop();
         bufferevent_disable(connection->handle, EV_READ | EV_WRITE);
         bufferevent_setcb(connection->handle, nullptr, nullptr, nullptr, nullptr);
     }
--- a/Libraries/LibHttp/HttpServerConnection.cpp
+++ b/Libraries/LibHttp/HttpServerConnection.cpp
@@ -134,13 +134,13 @@
     const auto onReadable = [](bufferevent *, void *argument) {
         static_cast<HttpServerConnection *>(argument)->processInput();
     };
-    const auto onSent = [](bufferevent *, void *argument) {
-        static_cast<HttpServerConnection *>(argument)->handleSent();
+    const auto onDrained = [](bufferevent *, void *argument) {
+        static_cast<HttpServerConnection *>(argument)->writer_->handleDrained();
     };
     const auto onEvent = [](bufferevent *, short, void *argument) {
         static_cast<HttpServerConnection *>(argument)->close();
     };
-    bufferevent_setcb(handle_, onReadable, onSent, onEvent, this);
+    bufferevent_setcb(handle_, onReadable, onDrained, onEvent, this);
     const auto onPeerClosed = [](evutil_socket_t, short, void *argument) {
         static_cast<HttpServerConnection *>(argument)->close();
     };
@@ -149,13 +149,17 @@
         static_cast<HttpServerConnection *>(argument)->processInput();
     };
     processSoon_ = event_new(base, -1, 0, onProcessSoon, this);
-    bufferevent_enable(handle_, EV_READ | EV_WRITE);
+    bufferevent_disable(handle_, EV_WRITE);
+    bufferevent_enable(handle_, EV_READ);
+    writer_.emplace(base, handle_, [this] { handleSent(); });
+    writer_->start();
 }
 
 HttpServerConnection::~HttpServerConnection()
 {
     close();
     event_free(processSoon_);
+    writer_.reset();
     bufferevent_free(handle_);
 }
 
@@ -167,6 +171,7 @@
     // closed before its events are gone, or they take bytes from whoever gets it next.
     event_free(std::exchange(peerClosed_, nullptr));
     event_del(processSoon_);
+    writer_->stop();
     bufferevent_disable(handle_, EV_READ | EV_WRITE);
     const evutil_socket_t socket = bufferevent_getfd(handle_);
     bufferevent_setfd(handle_, -1);
@@ -309,6 +314,7 @@
     hasSentContinue_ = true;
     constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
     bufferevent_write(handle_, interim.data(), interim.size());
+    writer_->writeSoon();
 }
 
 void HttpServerConnection::respond(HttpExchange &exchange, const HttpResponse &response)
@@ -346,6 +352,7 @@
     const std::string head = formatHead(*next.response, next.version, isClosing);
     evbuffer *output = bufferevent_get_output(handle_);
     evbuffer_add(output, head.data(), head.size());
+    writer_->writeSoon();
     const std::string_view body = bytesOf(next.response->body);
     if (body.empty() || next.method == "HEAD" || hasNoBody(next.response->status))
         return;
--- a/Libraries/LibHttp/HttpServerConnection.h
+++ b/Libraries/LibHttp/HttpServerConnection.h
@@ -4,6 +4,7 @@
 #include <LibHttp/RequestReader.h>
 #include <LibKernel/DescriptorShare.h>
 #include <LibKernel/EventLoop.h>
+#include <LibKernel/SocketWriter.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -108,6 +109,7 @@
     HttpServerContext &context_;
     DescriptorLease lease_;
     bufferevent *handle_ = nullptr;
+    std::optional<SocketWriter> writer_;
     event *peerClosed_ = nullptr; ///< Armed while the socket is not read.
     event *processSoon_ = nullptr;
     RequestReader reader_;
--- a/Libraries/LibLink/Link.cpp
+++ b/Libraries/LibLink/Link.cpp
@@ -26,12 +26,14 @@
            Events events)
     : loop_(loop)
     , buffer_(buffer)
+    , writer_(loop.base(), buffer, {})
     , events_(std::move(events))
 {
     WebSocketSession::Events session;
     session.writeBytes = [this](std::string_view bytes) {
         bytesSent_ += bytes.size();
         bufferevent_write(buffer_, bytes.data(), bytes.size());
+        writer_.writeSoon();
     };
     session.opened = [this] {
         state_ = State::Open;
@@ -52,7 +54,10 @@
     const auto onEvent = [](bufferevent *, short what, void *argument) {
         static_cast<Link *>(argument)->handleSocketEvent(what);
     };
-    bufferevent_setcb(buffer_, onReadable, nullptr, onEvent, this);
+    const auto onDrained = [](bufferevent *, void *argument) {
+        static_cast<Link *>(argument)->writer_.handleDrained();
+    };
+    bufferevent_setcb(buffer_, onReadable, onDrained, onEvent, this);
 }
 
 Link::~Link()
@@ -68,7 +73,8 @@
     std::unique_ptr<Link> link(
             new Link(loop, buffer, WebSocketRole::Client, maximumMessageSize, std::move(events)));
     bufferevent_set_timeouts(buffer, &connectTimeout, &connectTimeout);
-    bufferevent_enable(buffer, EV_READ | EV_WRITE);
+    bufferevent_disable(buffer, EV_WRITE);
+    bufferevent_enable(buffer, EV_READ);
     const sockaddr_in address = addressOf(peer);
     const int failed = bufferevent_socket_connect(
             buffer, reinterpret_cast<const sockaddr *>(&address), sizeof address);
@@ -90,7 +96,9 @@
     std::unique_ptr<Link> link(
             new Link(loop, buffer, WebSocketRole::Server, maximumMessageSize, std::move(events)));
     bufferevent_set_timeouts(buffer, &connectTimeout, nullptr);
-    bufferevent_enable(buffer, EV_READ | EV_WRITE);
+    bufferevent_disable(buffer, EV_WRITE);
+    bufferevent_enable(buffer, EV_READ);
+    link->writer_.start();
     link->session_->start();
     return link;
 }
@@ -115,6 +123,7 @@
     if ((what & BEV_EVENT_CONNECTED) != 0) {
         disableNagle(bufferevent_getfd(buffer_));
         failWhenSilent(bufferevent_getfd(buffer_));
+        writer_.start();
         session_->start();
         return;
     }
@@ -126,6 +135,7 @@
     if (state_ == State::Closed)
         return;
     state_ = State::Closed;
+    writer_.stop();
     bufferevent_disable(buffer_, EV_READ | EV_WRITE);
     // The owner destroys the link in its callback, which must not happen inside the session's.
     loop_.post([this, alive = alive_] {
--- a/Libraries/LibLink/Link.h
+++ b/Libraries/LibLink/Link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibKernel/SocketWriter.h>
 #include <LibLink/WebSocketSession.h>
 #include <LibSettings/Settings.h>
 
@@ -72,6 +73,7 @@
 
     EventLoop &loop_;
     bufferevent *buffer_ = nullptr;
+    SocketWriter writer_;
     Events events_;
     State state_ = State::Connecting;
     bool hasOpened_ = false;
