LibCustomers: Determine the customer of a request by its key

Cause: two deployments have customers, whose requests carry a key, and targets have to be told the customer and never the key.

Change: the configuration names customers by digests of their keys, the platform's dialect looks a caller's key up in a table that is built with each catalogue, replaces the key by the name, and refuses requests without a known key with 401, or with 503 while a peer has a newer version. Nested calls need no key and take the customer of their root. Decision lines name the customer; a metric counts the requests of the 16 largest and of all others.

Ruled out: comparing the text of keys, or a digest that callers could find collisions of; a memory of all withdrawn keys, as only another record of the same version can bring one back wrongly.

--- a/Libraries/LibCatalogue/Customer.h
+++ b/Libraries/LibCatalogue/Customer.h
@@ -21,7 +21,7 @@
 struct Customer
 {
     std::string name;
-    std::vector<std::string> keys;
+    std::vector<std::string> keys; ///< Digests (LibCustomers/KeyDigest), never the keys' text.
     std::optional<Importance> importance; ///< Takes precedence over that of the route.
     CustomerQuota quota;
 
--- a/Libraries/LibNode/DecisionLines.cpp
+++ b/Libraries/LibNode/DecisionLines.cpp
@@ -29,6 +29,8 @@
     line.append("event=").append(inputs.event).append(" id=").append(call.requestId);
     line.append(" kind=").append(call.kind).append(" service=").append(call.service);
     line.append(" importance=").append(nameOf(call.importance));
+    if (!call.customer.empty())
+        line.append(" customer=").append(call.customer);
     line.append(call.isNested ? " nested=1" : " nested=0").append(numbers.data());
     if (inputs.share)
         line.append(" share=").append(std::to_string(*inputs.share).substr(0, 4));
--- a/Libraries/LibNode/Dialect.h
+++ b/Libraries/LibNode/Dialect.h
@@ -3,12 +3,14 @@
 #include <LibCatalogue/Catalogue.h>
 #include <LibCatalogue/ShareCounters.h>
 #include <LibCore/Result.h>
+#include <LibCustomers/KeyTable.h>
 #include <LibHttp/HttpClient.h>
 #include <LibHttp/HttpMessage.h>
 #include <LibKernel/Registry.h>
 #include <LibNode/Announcement.h>
 #include <LibNode/Call.h>
 
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -16,12 +18,23 @@
 /// node uses one dialect; each dialect registers itself.
 namespace chive {
 
+/// What decides which customer a caller's request belongs to.
+struct CallerKeys
+{
+    KeyTable table; ///< Of the catalogue with which the request is read.
+    /// A peer has a newer version, which may hold keys that the table does not.
+    bool isNewerVersionKnown = false;
+    /// Whether a request without a key comes from the local target, which has none.
+    std::function<bool(std::string_view requestId, std::string_view kind)> isNestedCall;
+};
+
 /// The context that is needed to read a request.
 struct RequestSource
 {
     const Catalogue &catalogue;
     ShareCounters &shares;         ///< Distributes the requests of a route over its services.
     std::string_view localService; ///< Service of the VM on which the request was made.
+    const CallerKeys *callerKeys = nullptr; ///< Null: requests at this endpoint carry no keys.
 };
 
 /// What a request to a target carries besides the call itself.
@@ -43,7 +56,8 @@
     std::string (*requestIdOf)(const HttpRequest &request) = nullptr;
 
     /// The id of the call for which the target made a nested request, taken from the id of that
-    /// request; empty if it cannot be determined. Only the order of work may depend on it.
+    /// request; empty if it cannot be determined. Anyone can send any id, so only the order of work
+    /// and the need for a key may depend on it.
     std::string_view (*parentOf)(std::string_view requestId) = nullptr;
 
     /// Builds the request to the target.
--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -225,6 +225,12 @@
     StoreTopic topic = StoreTopic::Configuration;
 };
 
+/// From the configuration task: a peer has this version, which is newer than the one in force.
+struct NewerConfigurationKnown
+{
+    std::uint64_t version = 0;
+};
+
 /// To the store task: the waiting read has missed a change, so read the topic again.
 struct ReadStoreAgain
 {
--- a/Meta/install.sh
+++ b/Meta/install.sh
@@ -4,7 +4,7 @@
 packages=(g++ cmake make ninja-build ccache clang-format clang-tidy
     libevent-dev libwebsocketpp-dev prometheus-cpp-dev libdocopt-dev libgoogle-glog-dev
     libboost-dev doctest-dev libtomlplusplus-dev nlohmann-json3-dev librapidcheck-dev
-    libxxhash-dev libhttp-parser-dev)
+    libxxhash-dev libhttp-parser-dev libssl-dev)
 missing=()
 for package in "${packages[@]}"; do
     status=$(dpkg-query -W -f '${Status}' "$package" 2>/dev/null || true)
--- a/Services/Node/ConfigurationTask.cpp
+++ b/Services/Node/ConfigurationTask.cpp
@@ -191,6 +191,10 @@
 
     void handleNewerVersion(const Endpoint &peer, std::uint64_t version, VersionReport report)
     {
+        if (version > publishedVersion_) {
+            publishedVersion_ = version;
+            kernel_.bus().post(NewerConfigurationKnown{version});
+        }
         if (version_ == noVersion) {
             send(peer, {noVersion, {}});
             return;
@@ -262,7 +266,8 @@
     std::map<Endpoint, LaggingPeer> laggingPeers_;
     std::uint64_t newestHeard_ = 0; ///< The newest version that peers have announced.
     Endpoint newestHeardFrom_;
-    std::uint64_t readAgainFor_ = 0; ///< The newest version for which the store was read again.
+    std::uint64_t publishedVersion_ = 0; ///< Of the latest NewerConfigurationKnown.
+    std::uint64_t readAgainFor_ = 0;     ///< The newest version for which the store was read again.
     StoreChecks checks_;
     std::size_t checkRank_ = 0;
     std::minstd_rand random_{std::random_device{}()};
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -6,6 +6,7 @@
 #include <LibNode/Messages.h>
 #include <LibPolicy/RootAdmission.h>
 #include <Node/CallMetrics.h>
+#include <Node/Entry/CustomerMetrics.h>
 
 #include <glog/logging.h>
 
@@ -32,13 +33,20 @@
     explicit EntryTask(Kernel &kernel)
         : kernel_(kernel)
         , metrics_(kernel.metrics())
+        , customerMetrics_(kernel.metrics())
         , dialect_(dialectOf(kernel.settings()))
         , catalogue_(std::make_shared<const Catalogue>())
     {
-        kernel.bus().subscribe<CatalogueChanged>([this](const CatalogueChanged &changed) {
-            catalogue_ = changed.catalogue;
-            applyTimeouts();
-        });
+        kernel.bus().subscribe<CatalogueChanged>(
+                [this](const CatalogueChanged &changed) { setCatalogue(changed.catalogue); });
+        kernel.bus().subscribe<NewerConfigurationKnown>(
+                [this](const NewerConfigurationKnown &known) {
+                    newestVersionKnown_ = known.version;
+                    callerKeys_.isNewerVersionKnown = newestVersionKnown_ > catalogue_->version;
+                });
+        callerKeys_.isNestedCall = [this](std::string_view requestId, std::string_view kind) {
+            return isNestedCall(requestId, kind);
+        };
         kernel.bus().subscribe<PressureChanged>(
                 [this](const PressureChanged &changed) { meshPressure_ = changed.mesh; });
         kernel.bus().subscribe<RunStarted>([this](const RunStarted &started) {
@@ -80,6 +88,23 @@
         std::size_t bytesHeld = 0;
     };
 
+    void setCatalogue(std::shared_ptr<const Catalogue> catalogue)
+    {
+        catalogue_ = std::move(catalogue);
+        callerKeys_.table = buildKeyTable(*catalogue_, callerKeys_.table);
+        callerKeys_.isNewerVersionKnown = newestVersionKnown_ > catalogue_->version;
+        applyTimeouts();
+    }
+
+    /// Whether a request without a key is one that the local target makes. A call whose parent has
+    /// ended is recognized by its kind.
+    [[nodiscard]] bool isNestedCall(std::string_view requestId, std::string_view kind) const
+    {
+        const std::string_view parent = dialect_.parentOf(requestId);
+        return !parent.empty()
+               && (runningCalls_.contains(parent) || meshPressure_->nestedKinds.contains(kind));
+    }
+
     void applyTimeouts()
     {
         if (server_ == nullptr)
@@ -92,7 +117,8 @@
     {
         const TimePoint now = kernel_.clock().now();
         auto call = dialect_.readCall(
-                request, {*catalogue_, shares_, kernel_.settings().targetService}, now);
+                request, {*catalogue_, shares_, kernel_.settings().targetService, &callerKeys_},
+                now);
         if (!call.has_value()) {
             refuse(*exchange, call.error(), request);
             return;
@@ -132,12 +158,15 @@
     }
 
     /// Determines whether the call is the root of a call tree or a nested call, and the kind of its
-    /// root. A nested call takes the importance of its parent if that is higher.
+    /// root. A nested call takes the customer of its parent, and its importance if that is higher.
+    /// Only callers have keys, so a call with a customer is a root.
     CallOrigin attachToCallTree(Call &call)
     {
         const auto parent = runningCalls_.find(dialect_.parentOf(call.requestId));
-        const bool isParentKnown = parent != runningCalls_.end();
-        call.isNested = isParentKnown || meshPressure_->nestedKinds.contains(call.kind);
+        const bool hasKey = !call.customer.empty();
+        const bool isParentKnown = !hasKey && parent != runningCalls_.end();
+        call.isNested
+                = isParentKnown || (!hasKey && meshPressure_->nestedKinds.contains(call.kind));
         if (!call.isNested)
             call.rootKind = call.kind;
         call.treeDraw = std::uniform_real_distribution<double>(0.0, 1.0)(random_);
@@ -145,6 +174,7 @@
             return CallOrigin::Caller;
         call.rootKind = parent->second->rootKind;
         call.treeDraw = parent->second->treeDraw;
+        call.customer = parent->second->customer;
         call.importance = std::min(call.importance, parent->second->importance);
         return CallOrigin::RunningCall;
     }
@@ -184,6 +214,7 @@
     void noteDecision(const Call &call, const Judged<Answer> &result,
                       std::chrono::nanoseconds latency, const HttpExchange &exchange)
     {
+        customerMetrics_.countRequest(call, result);
         const TimePoint now = kernel_.clock().now();
         DecisionInputs inputs;
         inputs.event = "request";
@@ -273,6 +304,7 @@
 
     Kernel &kernel_;
     CallMetrics metrics_;
+    CustomerMetrics customerMetrics_;
     const Dialect &dialect_;
     ShareCounters shares_;
     std::shared_ptr<const MeshPressure> meshPressure_ = std::make_shared<const MeshPressure>();
@@ -280,6 +312,8 @@
     TimePoint stopRequestedAt_;
     std::optional<DrainSchedule> schedule_; ///< Set once a planned stop has begun.
     std::shared_ptr<const Catalogue> catalogue_;
+    CallerKeys callerKeys_;
+    std::uint64_t newestVersionKnown_ = 0; ///< The newest configuration that peers have.
     std::unique_ptr<HttpServer> server_;
     std::map<Token, OpenRequest> openRequests_;
     /// Calls that the local target is running, by request id.
--- a/Tests/LibNode/TestCallCodec.cpp
+++ b/Tests/LibNode/TestCallCodec.cpp
@@ -64,6 +64,20 @@
     CHECK(copy.deadline - there.now() == Milliseconds(1234));
 }
 
+TEST_CASE("The customer of a call travels on links only where there is one")
+{
+    const ManualClock clock;
+    Call call = sampleCall(clock.now());
+    const std::string without = encodeCall(77, call, clock.now());
+    CHECK(decodeCall(without, clock.now()).value().call.customer.empty());
+
+    call.customer = "north";
+    const std::string with = encodeCall(77, call, clock.now());
+    CHECK(decodeCall(with, clock.now()).value().call.customer == "north");
+    // The text and one byte of CBOR before it: without a customer not even an empty text is sent.
+    CHECK(with.size() == without.size() + 1 + call.customer.size());
+}
+
 TEST_CASE("An outcome is unchanged after encoding and decoding")
 {
     CallOutcome outcome;
--- a/Tests/Platform/TestConfiguration.cpp
+++ b/Tests/Platform/TestConfiguration.cpp
@@ -1,8 +1,12 @@
 #include <platform/Configuration.h>
 
+#include <LibCustomers/KeyDigest.h>
+
 #include <doctest/doctest.h>
 
+#include <optional>
 #include <string>
+#include <vector>
 
 using namespace chive;
 
@@ -55,6 +59,56 @@
     }
 }
 
+TEST_CASE("The operator's record holds customers")
+{
+    const std::string customers = R"("tenants":[
+{"name":"north","apiKeys":["n1","n2"],"priority":0,"ratePerS":40.5,"burstSize":41},
+{"name":"south","apiKeys":[],"priority":9},{"name":"east","apiKeys":["e1"]}],)";
+    const auto catalogue
+            = platform::readConfiguration(with("\"limits\"", customers + "\"limits\""));
+    REQUIRE(catalogue.has_value());
+    const auto &read = catalogue.value().customers;
+    REQUIRE(read.size() == 3);
+
+    SUBCASE("with limits and an importance, where they have them")
+    {
+        const Customer &north = read.at("north");
+        CHECK(north.name == "north");
+        CHECK(north.importance == Importance::Critical);
+        CHECK(north.quota == CustomerQuota{40.5, 41.0});
+        CHECK(read.at("south").importance == Importance::Low);
+        CHECK(read.at("east").importance == std::nullopt);
+        CHECK(read.at("east").quota == CustomerQuota{});
+    }
+    SUBCASE("and digests of keys, as a key's text is kept nowhere")
+    {
+        CHECK(read.at("north").keys == std::vector{keyDigest("n1"), keyDigest("n2")});
+        CHECK(read.at("south").keys.empty());
+    }
+}
+
+TEST_CASE("A record without customers asks nobody for a key")
+{
+    const auto without = platform::readConfiguration(record);
+    const auto empty = platform::readConfiguration(with("\"limits\"", "\"tenants\":[],\"limits\""));
+    REQUIRE(without.has_value());
+    REQUIRE(empty.has_value());
+    CHECK(without.value().customers.empty());
+    CHECK(without.value() == empty.value());
+}
+
+TEST_CASE("A route needs a key unless the record exempts it")
+{
+    const auto isOpen = [](const std::string &text) {
+        const auto catalogue = platform::readConfiguration(text);
+        REQUIRE(catalogue.has_value());
+        return findRoute(catalogue.value().routes, "a.example", "/x/1")->isOpen;
+    };
+    CHECK_FALSE(isOpen(record));
+    CHECK(isOpen(with("\"maxAttempts\":2", "\"maxAttempts\":2,\"authExempt\":true")));
+    CHECK_FALSE(isOpen(with("\"maxAttempts\":2", "\"maxAttempts\":2,\"authExempt\":false")));
+}
+
 TEST_CASE("A record that is wrong names the field")
 {
     const auto errorOf = [](const std::string &text) {
@@ -68,4 +122,22 @@
     CHECK(errorOf(with("\"priority\":2", "\"priority\":null")).starts_with("priority:"));
     CHECK(errorOf(with("\"maxAttempts\":2", "\"maxAttempts\":0")).starts_with("maxAttempts:"));
     CHECK(errorOf(with("\"host\":\"a.example\"", "\"host\":\"\"")).starts_with("host:"));
+    CHECK(errorOf(with("\"maxAttempts\":2", "\"maxAttempts\":2,\"authExempt\":1"))
+                  .starts_with("authExempt:"));
+
+    const auto errorOfCustomers = [&](const std::string &customers) {
+        return errorOf(with("\"limits\"", "\"tenants\":" + customers + ",\"limits\""));
+    };
+    CHECK(errorOfCustomers("{}").starts_with("tenants:"));
+    CHECK(errorOfCustomers(R"([{"apiKeys":[]}])").starts_with("name:"));
+    CHECK(errorOfCustomers(R"([{"name":"a\nb","apiKeys":[]}])").starts_with("name:"));
+    CHECK(errorOfCustomers(R"([{"name":"a","apiKeys":[]},{"name":"a","apiKeys":[]}])")
+                  .starts_with("name:"));
+    CHECK(errorOfCustomers(R"([{"name":"a"}])").starts_with("apiKeys:"));
+    CHECK(errorOfCustomers(R"([{"name":"a","apiKeys":[1]}])").starts_with("apiKeys:"));
+    CHECK(errorOfCustomers(R"([{"name":"a","apiKeys":[""]}])").starts_with("apiKeys:"));
+    CHECK(errorOfCustomers(R"([{"name":"a","apiKeys":[],"ratePerS":-1}])")
+                  .starts_with("ratePerS:"));
+    CHECK(errorOfCustomers(R"([{"name":"a","apiKeys":[],"burstSize":"1"}])")
+                  .starts_with("burstSize:"));
 }
--- a/Tests/Platform/TestRequests.cpp
+++ b/Tests/Platform/TestRequests.cpp
@@ -138,7 +138,7 @@
     }
     SUBCASE("no verdict that may have run is told as one that has not")
     {
-        for (int reason = 0; reason <= static_cast<int>(Reason::NotReady); ++reason) {
+        for (int reason = 0; reason <= static_cast<int>(Reason::QuotaExceeded); ++reason) {
             const int status
                     = dialect().responseFor(mayHaveRun(static_cast<Reason>(reason)), "id").status;
             CAPTURE(reason);
