LibCustomers: Rename KeyTable, whose name LibOnce has taken

Cause: LibOnce has a class KeyTable for idempotency keys in the same namespace, and a node links both. The linker keeps one of two inline members of that name, so that a table could be copied or destroyed as the other class.

Ruled out: a namespace of its own, which no other library has.

--- a/Libraries/LibCustomers/KeyTable.cpp
+++ b/Libraries/LibCustomers/CustomerKeys.cpp
@@ -1,12 +1,12 @@
-#include <LibCustomers/KeyTable.h>
+#include <LibCustomers/CustomerKeys.h>
 
 #include <LibCustomers/KeyDigest.h>
 
 namespace chive {
 
-KeyTable buildKeyTable(const Catalogue &catalogue, const KeyTable &previous)
+CustomerKeys buildCustomerKeys(const Catalogue &catalogue, const CustomerKeys &previous)
 {
-    KeyTable table;
+    CustomerKeys table;
     table.version = catalogue.version;
     if (catalogue.version <= previous.version)
         table.withdrawn = previous.withdrawn;
@@ -23,7 +23,7 @@
     return table;
 }
 
-std::string_view customerOf(const KeyTable &table, std::string_view key)
+std::string_view customerOf(const CustomerKeys &table, std::string_view key)
 {
     if (key.empty() || table.customers.empty())
         return {};
--- a/Libraries/LibNode/Dialect.h
+++ b/Libraries/LibNode/Dialect.h
@@ -3,7 +3,7 @@
 #include <LibCatalogue/Catalogue.h>
 #include <LibCatalogue/ShareCounters.h>
 #include <LibCore/Result.h>
-#include <LibCustomers/KeyTable.h>
+#include <LibCustomers/CustomerKeys.h>
 #include <LibHttp/HttpClient.h>
 #include <LibHttp/HttpMessage.h>
 #include <LibKernel/Registry.h>
@@ -21,7 +21,7 @@
 /// What decides which customer a caller's request belongs to.
 struct CallerKeys
 {
-    KeyTable table; ///< Of the catalogue with which the request is read.
+    CustomerKeys table; ///< Of the catalogue with which the request is read.
     /// A peer has a newer version, which may hold keys that the table does not.
     bool isNewerVersionKnown = false;
     /// Whether a request without a key comes from the local target, which has none.
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -91,7 +91,7 @@
     void setCatalogue(std::shared_ptr<const Catalogue> catalogue)
     {
         catalogue_ = std::move(catalogue);
-        callerKeys_.table = buildKeyTable(*catalogue_, callerKeys_.table);
+        callerKeys_.table = buildCustomerKeys(*catalogue_, callerKeys_.table);
         callerKeys_.isNewerVersionKnown = newestVersionKnown_ > catalogue_->version;
         applyTimeouts();
     }
--- a/Tests/LibCustomers/TestKeyTable.cpp
+++ b/Tests/LibCustomers/TestCustomerKeys.cpp
@@ -1,5 +1,5 @@
+#include <LibCustomers/CustomerKeys.h>
 #include <LibCustomers/KeyDigest.h>
-#include <LibCustomers/KeyTable.h>
 
 #include <doctest/doctest.h>
 
@@ -13,7 +13,7 @@
 
 using KeysOfCustomers = std::map<std::string, std::vector<std::string>>;
 
-KeyTable next(const KeyTable &previous, std::uint64_t version, const KeysOfCustomers &keys)
+CustomerKeys next(const CustomerKeys &previous, std::uint64_t version, const KeysOfCustomers &keys)
 {
     Catalogue catalogue;
     catalogue.version = version;
@@ -23,7 +23,7 @@
         for (const std::string &text : texts)
             customer.keys.push_back(keyDigest(text));
     }
-    return buildKeyTable(catalogue, previous);
+    return buildCustomerKeys(catalogue, previous);
 }
 
 } // namespace
@@ -37,13 +37,13 @@
 
 TEST_CASE("A customer is known by each of its keys")
 {
-    const KeyTable table = next({}, 1, {{"north", {"n1", "n2"}}, {"south", {"s1"}}});
+    const CustomerKeys table = next({}, 1, {{"north", {"n1", "n2"}}, {"south", {"s1"}}});
     CHECK(customerOf(table, "n1") == "north");
     CHECK(customerOf(table, "n2") == "north");
     CHECK(customerOf(table, "s1") == "south");
     CHECK(customerOf(table, "s2").empty());
     CHECK(customerOf(table, "").empty());
-    CHECK(customerOf(KeyTable(), "n1").empty());
+    CHECK(customerOf(CustomerKeys(), "n1").empty());
 
     SUBCASE("but not by the digest of one, which nodes exchange")
     {
@@ -57,10 +57,10 @@
 
 TEST_CASE("Keys are added, moved and withdrawn in quick succession")
 {
-    const KeyTable first = next({}, 1, {{"north", {"n1", "n2"}}, {"south", {"s1"}}});
-    const KeyTable second = next(first, 2, {{"north", {"n1"}}, {"south", {"s1", "n2"}}});
+    const CustomerKeys first = next({}, 1, {{"north", {"n1", "n2"}}, {"south", {"s1"}}});
+    const CustomerKeys second = next(first, 2, {{"north", {"n1"}}, {"south", {"s1", "n2"}}});
     CHECK(customerOf(second, "n2") == "south");
-    const KeyTable third = next(second, 3, {{"north", {"n1"}}, {"south", {"s1"}}});
+    const CustomerKeys third = next(second, 3, {{"north", {"n1"}}, {"south", {"s1"}}});
     CHECK(customerOf(third, "n2").empty());
     CHECK(customerOf(third, "n1") == "north");
 
@@ -71,14 +71,14 @@
     SUBCASE("another record of the same version may not, but may change the others")
     {
         const KeysOfCustomers withdrawn{{"north", {"n2", "n3"}}, {"south", {"s1"}}};
-        const KeyTable replaced = next(third, 3, withdrawn);
+        const CustomerKeys replaced = next(third, 3, withdrawn);
         CHECK(customerOf(replaced, "n2").empty());
         CHECK(customerOf(replaced, "n3") == "north");
         CHECK(customerOf(replaced, "n1").empty());
 
         SUBCASE("however often the record is replaced")
         {
-            const KeyTable again = next(replaced, 3, {{"north", {"n1", "n2", "n3"}}});
+            const CustomerKeys again = next(replaced, 3, {{"north", {"n1", "n2", "n3"}}});
             CHECK(customerOf(again, "n1").empty());
             CHECK(customerOf(again, "n2").empty());
             CHECK(customerOf(again, "n3") == "north");
--- a/Tests/Platform/TestCustomers.cpp
+++ b/Tests/Platform/TestCustomers.cpp
@@ -57,12 +57,12 @@
 struct Entry
 {
     Catalogue catalogue = sampleCatalogue();
-    CallerKeys keys{buildKeyTable(catalogue, {}), false, nullptr};
+    CallerKeys keys{buildCustomerKeys(catalogue, {}), false, nullptr};
 
     void apply(Catalogue newer)
     {
         catalogue = std::move(newer);
-        keys.table = buildKeyTable(catalogue, keys.table);
+        keys.table = buildCustomerKeys(catalogue, keys.table);
     }
 
     [[nodiscard]] Judged<Call> read(const HttpRequest &request) const
