LibQuota: Lend tokens of customers' quotas in small batches

A customer's rate must hold over all nodes, wherever its callers enter, and nothing may be written to the store for a request. Static shares for each node refuse customers whose callers are at few nodes. An allocator holds the only bucket of a customer and lends tokens that expire 400 ms after they were asked for. Returned tokens are taken out of the history of the bucket, as adding them to its level would let up to 0.4 s of the rate be lent twice. TokensReturned names the token, as its age decides whether it can be used.

--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -316,6 +316,7 @@
 struct TokensReturned
 {
     std::string customer;
+    Token token = 0; ///< Of TokensWanted; identifies how long the quota's token is still valid.
 };
 
 // Status reports.
--- /dev/null
+++ b/Libraries/LibQuota/QuotaAllocator.cpp
@@ -0,0 +1,162 @@
+#include <LibQuota/QuotaAllocator.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace chive {
+
+namespace {
+
+/// Before this has passed, tokens that another allocator lent may still be used.
+constexpr Milliseconds holdOff = tokenLifetime;
+/// Failure detection takes longer, so no other node took the role during a shorter pause.
+constexpr Milliseconds longestPause{600};
+/// Leases within this time are recorded as one.
+constexpr Milliseconds leaseSlot{20};
+/// When a question that reached the wrong node, or one that is not ready, is asked again.
+constexpr Milliseconds notReadyWait{50};
+
+/// Whether two lists make the same node the allocator of every customer.
+bool haveSameNodes(std::span<const Member> left, std::span<const Member> right)
+{
+    return std::ranges::equal(left, right, [](const Member &a, const Member &b) {
+        return a.nodeId == b.nodeId && a.incarnation == b.incarnation;
+    });
+}
+
+} // namespace
+
+QuotaAllocator::QuotaAllocator(std::string nodeId, Settings::QuotaBound bound, TimePoint now)
+    : nodeId_(std::move(nodeId))
+    , bound_(bound)
+    , catalogue_(std::make_shared<const Catalogue>())
+    , createdAt_(now)
+    , lastRunAt_(now)
+    , lendsFrom_(now + holdOff)
+{}
+
+void QuotaAllocator::setCatalogue(std::shared_ptr<const Catalogue> catalogue, TimePoint now)
+{
+    catalogue_ = std::move(catalogue);
+    applyLimits(now);
+}
+
+void QuotaAllocator::setMembers(std::span<const Member> members, TimePoint now)
+{
+    known_.setMembers(members, now);
+    std::vector<Member> allocators = allocatorsOf(members);
+    if (!haveSameNodes(allocators, allocators_)) {
+        allocators_ = std::move(allocators);
+        isAllocator_
+                = std::ranges::find(allocators_, nodeId_, &Member::nodeId) != allocators_.end();
+        lendsFrom_ = now + holdOff;
+        std::erase_if(buckets_, [this](const auto &entry) { return !isAllocatorOf(entry.first); });
+    }
+    applyLimits(now);
+}
+
+void QuotaAllocator::tick(TimePoint now)
+{
+    noteRunning(now);
+    // A bucket that is full is the same as a new one.
+    std::erase_if(buckets_, [this, now](const auto &entry) {
+        return lendsFrom_ < now - std::chrono::minutes(1) && entry.second.isFull(now);
+    });
+    if (known_.aliveShare(now) != share_)
+        applyLimits(now);
+}
+
+void QuotaAllocator::noteRunning(TimePoint now)
+{
+    if (now - lastRunAt_ > longestPause)
+        startAgain(now);
+    lastRunAt_ = now;
+}
+
+void QuotaAllocator::startAgain(TimePoint now)
+{
+    buckets_.clear();
+    lendsFrom_ = now + holdOff;
+}
+
+void QuotaAllocator::applyLimits(TimePoint now)
+{
+    share_ = known_.aliveShare(now);
+    for (auto entry = buckets_.begin(); entry != buckets_.end();) {
+        const auto found = catalogue_->customers.find(entry->first);
+        if (found == catalogue_->customers.end() || found->second.quota.ratePerSecond <= 0.0) {
+            entry = buckets_.erase(entry);
+            continue;
+        }
+        setLimits(entry->second, found->second.quota, now);
+        ++entry;
+    }
+}
+
+/// The size is scaled as well, as each side of a partition has a bucket.
+void QuotaAllocator::setLimits(QuotaBucket &bucket, const CustomerQuota &quota, TimePoint now) const
+{
+    bucket.setLimits(quota.ratePerSecond * share_, bucketSizeOf(quota, bound_) * share_, now);
+}
+
+bool QuotaAllocator::isAllocatorOf(std::string_view customer) const
+{
+    const Member *allocator = allocatorOf(customer, allocators_);
+    return allocator != nullptr && allocator->nodeId == nodeId_;
+}
+
+QuotaBucket *QuotaAllocator::bucketOf(const std::string &customer, TimePoint now)
+{
+    const auto existing = buckets_.find(customer);
+    if (existing != buckets_.end())
+        return &existing->second;
+    const auto found = catalogue_->customers.find(customer);
+    if (found == catalogue_->customers.end() || found->second.quota.ratePerSecond <= 0.0)
+        return nullptr;
+    // A bucket that nobody has asked is as full as it would have become since the role began.
+    QuotaBucket &bucket = buckets_.emplace(customer, QuotaBucket(lendsFrom_)).first->second;
+    setLimits(bucket, found->second.quota, now);
+    return &bucket;
+}
+
+LentTokens QuotaAllocator::lend(const WantedTokens &wanted, LeaseStamp stamp, TimePoint now)
+{
+    if (!isAllocatorOf(wanted.customer) || catalogue_->version == 0)
+        return {0, notReadyWait, longestTokenWait};
+    QuotaBucket *bucket = bucketOf(wanted.customer, now);
+    if (bucket == nullptr) // This node's configuration does not limit the customer.
+        return {wanted.count, Milliseconds(0), Milliseconds(0)};
+    LentTokens lent;
+    lent.count = bucket->take(wanted.count, stamp, now);
+    if (lent.count == wanted.count && wanted.refused == 0)
+        return lent;
+    lent.nextIn = bucket->timeUntil(1.0, now);
+    lent.retryAfter = bucket->reserveReturn(wanted.count - lent.count + wanted.refused, now);
+    return lent;
+}
+
+TokenAnswer QuotaAllocator::answer(const TokenQuestion &question, TimePoint now)
+{
+    noteRunning(now);
+    TokenAnswer answer;
+    answer.id = question.id;
+    answer.stamp = static_cast<LeaseStamp>((now - createdAt_) / leaseSlot);
+    for (const UnusedTokens &returned : question.returned) {
+        const auto bucket = buckets_.find(returned.customer);
+        if (bucket != buckets_.end())
+            bucket->second.giveBack(returned.count, returned.stamp, now);
+    }
+    for (const WantedTokens &wanted : question.wanted)
+        answer.lent.push_back(lend(wanted, answer.stamp, now));
+    return answer;
+}
+
+std::optional<double> QuotaAllocator::tokensLeft(std::string_view customer, TimePoint now) const
+{
+    const auto found = buckets_.find(customer);
+    if (found == buckets_.end())
+        return std::nullopt;
+    return std::max(0.0, found->second.level(now));
+}
+
+} // namespace chive
--- /dev/null
+++ b/Tests/LibQuota/TestQuotaMessage.cpp
@@ -0,0 +1,55 @@
+#include <LibQuota/QuotaMessage.h>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <random>
+
+using namespace chive;
+
+namespace {
+
+TokenQuestion someQuestion()
+{
+    return {77, {{"northwind", 12, 3}, {"fabrikam", 1, 0}}, {{"contoso", 4'000'000'000, 2}}};
+}
+
+} // namespace
+
+TEST_CASE("Messages about tokens")
+{
+    SUBCASE("survive the way between two nodes")
+    {
+        const TokenAnswer answer{
+                77,
+                15,
+                {{12, Milliseconds(0), Milliseconds(0)}, {0, Milliseconds(40), Milliseconds(700)}}};
+        const auto question = parseQuotaMessage(encodeQuotaMessage(someQuestion()));
+        REQUIRE(question.has_value());
+        CHECK(std::get<TokenQuestion>(question.value()) == someQuestion());
+        const auto parsed = parseQuotaMessage(encodeQuotaMessage(answer));
+        REQUIRE(parsed.has_value());
+        CHECK(std::get<TokenAnswer>(parsed.value()) == answer);
+    }
+
+    SUBCASE("a message cut off or altered anywhere crashes nothing")
+    {
+        const std::string bytes = encodeQuotaMessage(someQuestion());
+        for (std::size_t length = 0; length < bytes.size(); ++length)
+            CHECK_FALSE(parseQuotaMessage(bytes.substr(0, length)).has_value());
+        std::mt19937 random(1);
+        for (int i = 0; i < 20'000; ++i) {
+            std::string altered = bytes;
+            altered[random() % altered.size()] = static_cast<char>(random());
+            altered[random() % altered.size()] = static_cast<char>(random());
+            static_cast<void>(parseQuotaMessage(altered));
+        }
+    }
+
+    SUBCASE("bytes that are no message are refused")
+    {
+        rc::check("random bytes",
+                  [](const std::string &bytes) { static_cast<void>(parseQuotaMessage(bytes)); });
+        CHECK_FALSE(parseQuotaMessage("").has_value());
+    }
+}
