QuotaTask: Ask for a token before a customer's request is routed

Requests of customers with a rate must be refused at the entry node once the quota over all nodes is used up, and before root admission counts them as offered. A request that ends as not run returns its token. Requests without a customer take the same steps as before. Requests refused for memory now have a decision line like the others.

--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -6,6 +6,7 @@
 #include <LibNode/Messages.h>
 #include <LibPolicy/RootAdmission.h>
 #include <Node/CallMetrics.h>
+#include <Node/Entry/QuotaGate.h>
 
 #include <glog/logging.h>
 
@@ -34,6 +35,7 @@
         , metrics_(kernel.metrics())
         , dialect_(dialectOf(kernel.settings()))
         , catalogue_(std::make_shared<const Catalogue>())
+        , quotaGate_(kernel)
     {
         kernel.bus().subscribe<CatalogueChanged>([this](const CatalogueChanged &changed) {
             catalogue_ = changed.catalogue;
@@ -51,6 +53,7 @@
                 [this](const StopRequested &stop) { beginStop(stop.schedule); });
         kernel.bus().subscribe<DrainExpired>([this](const DrainExpired &) { giveUp(); });
         kernel.addInFlight("requests", [this] { return openRequests_.size(); });
+        kernel.addInFlight("requests_awaiting_quota", [this] { return quotaGate_.waiting(); });
         kernel.addInFlight("responses", [this] { return server_ ? server_->unanswered() : 0; });
         kernel.addInFlight("requests_receiving",
                            [this] { return server_ ? server_->receiving() : 0; });
@@ -98,39 +101,81 @@
             return;
         }
         const CallOrigin origin = attachToCallTree(call.value());
-        const auto leaving
-                = schedule_ ? reasonToRefuse(*schedule_, origin, call.value(), now) : std::nullopt;
-        if (leaving) {
-            noteDecision(call.value(), *leaving, std::chrono::nanoseconds(0), *exchange);
-            refuse(*exchange, *leaving, request);
+        if (!quotaGate_.needsToken(call.value(), *catalogue_)) {
+            admit(nextToken(), std::move(call.value()), origin, request, exchange, now);
             return;
         }
-        const std::size_t size = bytesOf(request.body).size();
-        if (bytesHeld_ + size > kernel_.settings().maximumBytesHeld) {
-            refuse(*exchange, memoryLimitVerdict(), request);
-            return;
-        }
-        if (!call.value().isNested && openRequests_.size() >= mostOpenRequests()) {
-            const Verdict verdict = connectionLimitVerdict();
-            noteDecision(call.value(), verdict, std::chrono::nanoseconds(0), *exchange);
-            refuse(*exchange, verdict, request);
+        if (const auto refusal = reasonNotToHold(call.value(), origin, request, now)) {
+            refuseCall(*exchange, call.value(), *refusal, request, now);
             return;
         }
-        if (const auto refusal = reasonToShed(call.value())) {
-            noteDecision(call.value(), *refusal, std::chrono::nanoseconds(0), *exchange);
-            refuse(*exchange, *refusal, request);
+        awaitQuota(std::move(call.value()), origin, request, exchange, now);
+    }
+
+    /// Asks for a token of the customer's quota before the request counts as offered.
+    void awaitQuota(Call call, CallOrigin origin, const HttpRequest &request,
+                    const std::shared_ptr<HttpExchange> &exchange, TimePoint receivedAt)
+    {
+        const std::size_t size = bytesOf(request.body).size();
+        const std::string customer = call.customer;
+        const auto held = std::make_shared<Call>(std::move(call));
+        const Token token = quotaGate_.ask(
+                customer, size, [=, this](Token granted, const std::optional<Verdict> &refusal) {
+                    if (refusal)
+                        refuseCall(*exchange, *held, *refusal, request, receivedAt);
+                    else
+                        admit(granted, std::move(*held), origin, request, exchange, receivedAt);
+                });
+        exchange->onPeerGone([this, token] { quotaGate_.cancel(token); });
+    }
+
+    /// Continues with a request that has a token of its customer's quota, or needs none.
+    void admit(Token token, Call call, CallOrigin origin, const HttpRequest &request,
+               const std::shared_ptr<HttpExchange> &exchange, TimePoint receivedAt)
+    {
+        const TimePoint now = kernel_.clock().now();
+        auto refusal = reasonNotToHold(call, origin, request, now);
+        if (!refusal)
+            refusal = reasonToShed(call);
+        if (refusal) {
+            quotaGate_.giveBack(call, *catalogue_, token);
+            refuseCall(*exchange, call, *refusal, request, receivedAt);
             return;
         }
         if (schedule_)
-            limitDeadline(*schedule_, call.value());
+            limitDeadline(*schedule_, call);
+        const std::size_t size = bytesOf(request.body).size();
         bytesHeld_ += size;
-        const Token token = nextToken();
-        auto shared = std::make_shared<const Call>(std::move(call.value()));
-        openRequests_.emplace(token, OpenRequest{exchange, shared, now, size});
+        auto shared = std::make_shared<const Call>(std::move(call));
+        openRequests_.emplace(token, OpenRequest{exchange, shared, receivedAt, size});
         exchange->onPeerGone([this, token] { kernel_.bus().post(CancelCall{token}); });
         kernel_.bus().post(RouteCall{token, std::move(shared)});
     }
 
+    /// Refuses a call that this node has no time, memory or connections for.
+    std::optional<Verdict> reasonNotToHold(const Call &call, CallOrigin origin,
+                                           const HttpRequest &request, TimePoint now)
+    {
+        if (schedule_) {
+            if (auto leaving = reasonToRefuse(*schedule_, origin, call, now))
+                return leaving;
+        }
+        const std::size_t size = bytesOf(request.body).size();
+        if (bytesHeld_ + quotaGate_.bytesHeld() + size > kernel_.settings().maximumBytesHeld)
+            return memoryLimitVerdict();
+        const std::size_t open = openRequests_.size() + quotaGate_.waiting();
+        if (!call.isNested && open >= mostOpenRequests())
+            return connectionLimitVerdict();
+        return std::nullopt;
+    }
+
+    void refuseCall(HttpExchange &exchange, const Call &call, const Verdict &verdict,
+                    const HttpRequest &request, TimePoint receivedAt)
+    {
+        noteDecision(call, verdict, kernel_.clock().now() - receivedAt, exchange);
+        refuse(exchange, verdict, request);
+    }
+
     /// Determines whether the call is the root of a call tree or a nested call, and the kind of its
     /// root. A nested call takes the importance of its parent if that is higher.
     CallOrigin attachToCallTree(Call &call)
@@ -232,6 +277,11 @@
         exchange.respond(dialect_.responseFor(verdict, requestId));
     }
 
+    static bool hasNotRun(const Judged<Answer> &result)
+    {
+        return !result.has_value() && result.error().execution == Execution::NotRun;
+    }
+
     void finish(const CallRouted &routed)
     {
         const auto found = openRequests_.find(routed.token);
@@ -247,6 +297,8 @@
             kernel_.bus().post(RootEnded{request.call->kind, latency, wasServed});
         }
         metrics_.countFinishedCall(*request.call, routed.outcome.result, latency);
+        if (hasNotRun(routed.outcome.result))
+            quotaGate_.giveBack(*request.call, *catalogue_, routed.token);
         noteDecision(*request.call, routed.outcome.result, latency, *request.exchange);
         request.exchange->respond(
                 dialect_.responseFor(routed.outcome.result, request.call->requestId));
@@ -280,6 +332,7 @@
     TimePoint stopRequestedAt_;
     std::optional<DrainSchedule> schedule_; ///< Set once a planned stop has begun.
     std::shared_ptr<const Catalogue> catalogue_;
+    QuotaGate quotaGate_;
     std::unique_ptr<HttpServer> server_;
     std::map<Token, OpenRequest> openRequests_;
     /// Calls that the local target is running, by request id.
