LibPolicy: Take retry tokens from the window before

While a service rejects calls, trees break off or are refused and add few tokens, so 0.45 of the shared ratio was lost. Constant weights with less for current requests were ruled out: a mesh without history would have hardly any tokens (TestRetry, "A scarce budget completes some trees", failed). Each budget now moves its weights once, when its first attempts of the last window are at most 1.1 times those of every window that ended within the window before. What a change of weights adds to a window is then at most 0.04 of the ratio, at any time and on any node, and the sum of the weights is at most 0.94. TestSharedRetryBound holds unchanged and with the new mode, in which loads fall and return.

--- a/Libraries/LibPolicy/Retry.cpp
+++ b/Libraries/LibPolicy/Retry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace chive {
 
@@ -16,6 +17,16 @@
 constexpr double ratioRefillShare = 0.45;
 constexpr std::array<double, 2> ratioLaterShares{0.2, 0.1};
 constexpr double ratioCapacityShare = 0.1;
+/// Moves from the current requests to those of the window before. A change of weights at a time s
+/// lets requests from s - W to s count in every window that contains s. The bound allows those of
+/// the window before each of these windows. If they are at most `steadyFactor` times fewer, the
+/// excess of each node, and so of the sum, is at most a tenth of this share, whenever each node
+/// changes. The weights never change back.
+constexpr RetryBudgetLimits::Shift ratioShift{0.4, 0.35, 0.1};
+constexpr double steadyFactor = 1.1;
+/// A larger share leaves tokens unused where the roots are limited to what the tokens can complete
+/// (TreeBudget); without it, trees that begin later take the tokens of those that have begun.
+constexpr double reservedShareOfCapacity = 0.4;
 /// Number of spans in a window in which first attempts are counted.
 constexpr int spansOfWindow = 40;
 /// With fewer known members, the membership view is probably incomplete.
@@ -29,15 +40,30 @@
     return value / 2 + value % 2;
 }
 
-double tokenCapacity(const RetryBudgetLimits &limits, double recentAttempts)
+double tokenCapacity(const RetryBudget &budget)
 {
-    return limits.capacity + limits.capacityPerFirstAttempt * recentAttempts;
+    const RetryBudgetLimits &limits = budget.limits;
+    const double shifted = budget.isShifted ? limits.shift.capacityPerFirstAttempt : 0.0;
+    return limits.capacity + (limits.capacityPerFirstAttempt + shifted) * budget.recentAttempts;
 }
 
 void addTokens(RetryBudget &budget, double tokens)
+{
+    budget.tokens = std::min(tokenCapacity(budget), budget.tokens + tokens);
+}
+
+double perFirstAttempt(const RetryBudget &budget)
+{
+    const RetryBudgetLimits &limits = budget.limits;
+    return limits.perFirstAttempt - (budget.isShifted ? limits.shift.perFirstAttempt : 0.0);
+}
+
+double perFirstAttemptLater(const RetryBudget &budget, std::size_t index)
 {
     const RetryBudgetLimits &limits = budget.limits;
-    budget.tokens = std::min(tokenCapacity(limits, budget.recentAttempts), budget.tokens + tokens);
+    const bool isIncreased = budget.isShifted && index == 1;
+    return limits.perFirstAttemptLater[index]
+           + (isIncreased ? limits.shift.perFirstAttemptLater : 0.0);
 }
 
 void addLaterTokens(RetryBudget &budget, TimePoint now)
@@ -47,13 +73,13 @@
         const auto delay = limits.window * static_cast<int>(i + 1) / 2;
         auto &spans = budget.later[i];
         while (!spans.empty() && now - spans.front().start >= delay) {
-            addTokens(budget, limits.perFirstAttemptLater[i] * spans.front().attempts);
+            addTokens(budget, perFirstAttemptLater(budget, i) * spans.front().attempts);
             spans.pop_front();
         }
     }
 }
 
-void noteForLater(RetryBudget &budget, TimePoint now)
+void noteForLater(RetryBudget &budget, TimePoint now, double count)
 {
     const auto length = budget.limits.window / spansOfWindow;
     for (std::size_t i = 0; i < budget.later.size(); ++i) {
@@ -62,10 +88,51 @@
         auto &spans = budget.later[i];
         if (spans.empty() || now - spans.back().start >= length)
             spans.push_back({now, 0.0});
-        spans.back().attempts += 1.0;
+        spans.back().attempts += count;
     }
 }
 
+/// Whether the last window had no more than `steadyFactor` times the first attempts of each window
+/// that ended within the window before now. The history must cover two windows.
+bool wasSteady(const RetryBudget &budget, TimePoint now)
+{
+    const auto window = budget.limits.window;
+    const auto &history = budget.history;
+    if (history.empty() || now - history.front().start < 2 * window)
+        return false;
+    std::array<double, 2 * spansOfWindow> bySpan{}; // The latest first.
+    for (const RetryBudget::Span &span : history) {
+        const auto age = static_cast<std::size_t>((now - span.start) * spansOfWindow / window);
+        if (age < bySpan.size())
+            bySpan[age] += span.attempts;
+    }
+    double sum = std::accumulate(bySpan.begin(), bySpan.begin() + spansOfWindow, 0.0);
+    const double most = sum;
+    for (std::size_t end = 0; end < spansOfWindow; ++end) {
+        sum += bySpan[end + spansOfWindow] - bySpan[end];
+        if (most > steadyFactor * sum)
+            return false;
+    }
+    return true;
+}
+
+void noteForShift(RetryBudget &budget, TimePoint now, double count)
+{
+    if (budget.isShifted || budget.limits.shift.perFirstAttempt <= 0.0)
+        return;
+    const auto window = budget.limits.window;
+    auto &history = budget.history;
+    if (history.empty() || now - history.back().start >= window / spansOfWindow) {
+        budget.isShifted = wasSteady(budget, now);
+        while (!history.empty() && now - history.front().start > 2 * window + window / 4)
+            history.pop_front();
+        history.push_back({now, 0.0});
+    }
+    history.back().attempts += count;
+    if (budget.isShifted)
+        history.clear();
+}
+
 void refill(RetryBudget &budget, TimePoint now)
 {
     addLaterTokens(budget, now);
@@ -85,8 +152,7 @@
 {
     const auto level = static_cast<double>(call.importance);
     const double order = (level + call.treeDraw) / static_cast<double>(importanceLevels);
-    return std::max(0.0, tokenCapacity(budget.limits, budget.recentAttempts) - 1.0)
-           * budget.limits.reservedShare * order;
+    return std::max(0.0, tokenCapacity(budget) - 1.0) * budget.limits.reservedShare * order;
 }
 
 /// Whether another target could succeed after a failure for this reason.
@@ -139,12 +205,30 @@
     parent.calls += std::min(lent.calls, unspent.calls);
 }
 
-void noteFirstAttempt(RetryBudget &budget, TimePoint now)
+void noteFirstAttempt(RetryBudget &budget, TimePoint now, double count)
 {
     refill(budget, now);
-    budget.recentAttempts += 1.0;
-    noteForLater(budget, now);
-    addTokens(budget, budget.limits.perFirstAttempt);
+    budget.recentAttempts += count;
+    noteForLater(budget, now, count);
+    noteForShift(budget, now, count);
+    addTokens(budget, perFirstAttempt(budget) * count);
+}
+
+double tokensPerSecond(const RetryBudget &budget, double firstAttemptsPerSecond)
+{
+    double tokens = budget.limits.perSecond + perFirstAttempt(budget) * firstAttemptsPerSecond;
+    for (std::size_t i = 0; i < budget.later.size(); ++i) {
+        const auto &spans = budget.later[i];
+        const auto count = std::min<std::size_t>(spans.size(), 5);
+        if (count < 2)
+            continue;
+        double attempts = 0.0;
+        for (std::size_t span = 0; span + 1 < count; ++span)
+            attempts += spans[span].attempts;
+        const std::chrono::duration<double> time = spans[count - 1].start - spans[0].start;
+        tokens += perFirstAttemptLater(budget, i) * attempts / time.count();
+    }
+    return tokens;
 }
 
 RetryBudgetLimits sharedLimits(double ratio, double constant, Milliseconds window,
@@ -156,12 +240,14 @@
     limits.perFirstAttempt = ratioRefillShare * ratio;
     for (std::size_t i = 0; i < ratioLaterShares.size(); ++i)
         limits.perFirstAttemptLater[i] = ratioLaterShares[i] * ratio;
+    limits.shift = {ratioShift.perFirstAttempt * ratio, ratioShift.perFirstAttemptLater * ratio,
+                    ratioShift.capacityPerFirstAttempt * ratio};
     // The constant can be spent twice in a window: as saved tokens and as the refill.
     limits.capacity = constantUsedShare * constant / sharers / 2.0;
     limits.perSecond = limits.capacity / seconds.count();
     limits.capacityPerFirstAttempt = ratioCapacityShare * ratio;
     limits.window = window;
-    limits.reservedShare = 0.8;
+    limits.reservedShare = reservedShareOfCapacity;
     limits.chargesUnreachedAttempts = false;
     return limits;
 }
@@ -174,6 +260,12 @@
     return budget;
 }
 
+bool lacksTokens(const Call &call, RetryBudget &budget, TimePoint now)
+{
+    refill(budget, now);
+    return budget.tokens < 1.0 + tokensLeftToOthers(call, budget);
+}
+
 bool hasTokens(RetryBudget &budget, double tokens, TimePoint now)
 {
     refill(budget, now);
@@ -210,7 +302,7 @@
         return true;
     if (!end.isAtRejectingTarget && allowance.retries == 0)
         return false;
-    if (budget.tokens < 1.0 + tokensLeftToOthers(call, budget))
+    if (lacksTokens(call, budget, now))
         return false;
     if (!end.isAtRejectingTarget)
         --allowance.retries;
--- a/Tests/LibPolicy/TestSharedRetryBound.cpp
+++ b/Tests/LibPolicy/TestSharedRetryBound.cpp
@@ -140,3 +140,43 @@
         }
     }
 }
+
+TEST_CASE("Nodes whose tokens come from the window before stay within the shared bound")
+{
+    // Steady enough for the weights to change at most nodes, each at its own time; then the load
+    // falls, as it does while calls are rejected, and returns. All tokens are spent, now and then.
+    for (const std::size_t nodes : {1, 10, 17, 90}) {
+        for (unsigned seed = 1; seed <= 5; ++seed) {
+            CAPTURE(nodes);
+            CAPTURE(seed);
+            std::mt19937 random(seed);
+            const RetryBudget fresh = sharedBudget(sharedLimits(ratio, constant, window, nodes));
+            std::vector<RetryBudget> budgets(nodes, fresh);
+            constexpr std::size_t length = 2 * steps;
+            History history{std::vector<int>(length), std::vector<int>(length)};
+            TimePoint now{std::chrono::hours(1)};
+            for (std::size_t i = 0; i < length; ++i, now += step) {
+                const bool isFault = i % 270 >= 185;
+                for (RetryBudget &budget : budgets) {
+                    const int requests = static_cast<int>(isFault ? random() % 3 : random() % 30);
+                    for (int request = 0; request < requests; ++request)
+                        noteFirstAttempt(budget, now);
+                    history.requests[i] += requests;
+                    while ((isFault || seed % 2 == 0) && hasTokens(budget, 1.0, now)) {
+                        takeTokens(budget, 1.0);
+                        ++history.retries[i];
+                    }
+                }
+            }
+            const auto shifted = std::ranges::count_if(
+                    budgets, [](const RetryBudget &budget) { return budget.isShifted; });
+            CHECK(shifted > 0);
+            for (std::size_t from = stepsInWindow; from + stepsInWindow <= length; ++from) {
+                const int requests = std::max({sumOf(history.requests, from),
+                                               sumOf(history.requests, from - stepsInWindow / 2),
+                                               sumOf(history.requests, from - stepsInWindow)});
+                REQUIRE(sumOf(history.retries, from) <= ratio * requests + constant);
+            }
+        }
+    }
+}
