RootAdmission: Divide the admitted load among customers

Cause: the admitted share of a kind applied to all customers alike, so that one customer at eight times its usual demand took seven to eight times its fair share and the others were refused with it.

Change: LibCustomers/FairShares water-fills the admitted load of each importance by work. Nodes report the requests of their 16 largest customers while something is refused; collectors add the shares to their summaries; entry nodes keep credits by kind, service and customer.

Ruled out: shares from the demand of half a second, which refused customers just below their fair share for the chance variation of their arrivals.

--- a/Libraries/LibNode/MeshPressure.h
+++ b/Libraries/LibNode/MeshPressure.h
@@ -21,6 +21,9 @@
     std::set<std::string, std::less<>> nestedKinds; ///< Kinds that only targets send.
     /// The share of callers' requests to admit, for each kind where it is below 1.
     std::map<std::string, double, std::less<>> rootShares;
+    /// The same by kind and customer, for kinds where the share is below 1. The empty name stands
+    /// for customers that are not named. Empty without customers.
+    std::map<std::string, std::map<std::string, double, std::less<>>, std::less<>> customerShares;
 };
 
 } // namespace chive
--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -267,6 +267,7 @@
     Importance importance = Importance::Normal;
     Milliseconds objective{0};
     bool isAdmitted = true;
+    std::string customer = {}; ///< Call::customer.
 };
 
 /// From the entry task: an admitted request of a caller ended.
--- a/Libraries/LibPolicy/MeshReport.cpp
+++ b/Libraries/LibPolicy/MeshReport.cpp
@@ -1,6 +1,7 @@
 #include <LibPolicy/MeshReport.h>
 
 #include <LibCore/Cbor.h>
+#include <LibPolicy/CustomerCodec.h>
 
 #include <nlohmann/json.hpp>
 
@@ -14,6 +15,10 @@
 
 using nlohmann::json;
 
+/// Elements of the array of a report and of a summary, before the part about customers.
+constexpr std::size_t reportElements = 8;
+constexpr std::size_t summaryElements = 5;
+
 json encodeRoots(const MeshReport &report)
 {
     json roots = json::object();
@@ -57,6 +62,7 @@
         report.roots.emplace(kind, readRoot(count));
     for (const auto &[kind, seconds] : parts.at(7).items())
         report.work.emplace(kind, readAmount(seconds));
+    report.customers = readOffered(parts, reportElements);
     return report;
 }
 
@@ -74,6 +80,7 @@
     summary.mesh.nestedKinds = parts.at(3).get<std::set<std::string, std::less<>>>();
     for (const auto &[kind, share] : parts.at(4).items())
         summary.mesh.rootShares.emplace(kind, readAmount(share));
+    summary.mesh.customerShares = readShares(parts, summaryElements);
     return summary;
 }
 
@@ -92,12 +99,13 @@
 
 std::string encodeReport(const MeshReport &report)
 {
+    json parts = json::array({report.nodeId, report.target.service, report.target.pressure,
+                              report.target.capacity.slots, report.target.capacity.wait,
+                              json(report.target.enteredKinds), encodeRoots(report),
+                              json(report.work)});
+    appendOffered(parts, report.customers);
     std::string bytes;
-    json::to_cbor(
-            json::array({report.nodeId, report.target.service, report.target.pressure,
-                         report.target.capacity.slots, report.target.capacity.wait,
-                         json(report.target.enteredKinds), encodeRoots(report), json(report.work)}),
-            bytes);
+    json::to_cbor(parts, bytes);
     return bytes;
 }
 
@@ -112,10 +120,11 @@
     for (const auto &[name, pressure] : summary.mesh.services) {
         services[name] = json::array({pressure.own, pressure.below, json(pressure.servicesBelow)});
     }
+    json parts = json::array({summary.collector, summary.reports, services,
+                              json(summary.mesh.nestedKinds), json(summary.mesh.rootShares)});
+    appendShares(parts, summary.mesh.customerShares);
     std::string bytes;
-    json::to_cbor(json::array({summary.collector, summary.reports, services,
-                               json(summary.mesh.nestedKinds), json(summary.mesh.rootShares)}),
-                  bytes);
+    json::to_cbor(parts, bytes);
     return bytes;
 }
 
--- a/Libraries/LibPolicy/MeshReport.h
+++ b/Libraries/LibPolicy/MeshReport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Result.h>
+#include <LibCustomers/CustomerDemand.h>
 #include <LibPolicy/RootAdmission.h>
 #include <LibPolicy/ServicePressure.h>
 
@@ -19,6 +20,8 @@
     std::map<std::string, RootCount, std::less<>> roots; ///< By kind, since the last report.
     /// Work of the target since the last report.
     WorkByKind work;
+    /// Only while something is refused and the catalogue has customers; takes no bytes otherwise.
+    CustomerReport customers = {};
 };
 
 /// The summary that a collector sends to all nodes.
--- a/Libraries/LibPolicy/RootAdmission.cpp
+++ b/Libraries/LibPolicy/RootAdmission.cpp
@@ -4,7 +4,6 @@
 #include <chrono>
 #include <cmath>
 #include <limits>
-#include <optional>
 #include <vector>
 
 namespace chive {
@@ -47,18 +46,6 @@
 /// For requests without an objective.
 constexpr Milliseconds defaultObjective{1'000};
 
-double decayedValue(const DecayingSum &sum, Seconds time, TimePoint now)
-{
-    const Seconds passed = now - sum.updated;
-    return sum.value * std::exp(-std::max(0.0, passed / time));
-}
-
-void add(DecayingSum &sum, double amount, Seconds time, TimePoint now)
-{
-    sum.value = decayedValue(sum, time, now) + amount;
-    sum.updated = now;
-}
-
 /// The demand of one kind, as used by the fitting.
 struct Demand
 {
@@ -172,16 +159,22 @@
     return shares;
 }
 
+struct Fit
+{
+    double share = std::numeric_limits<double>::infinity();
+    std::string_view service; ///< That limits it; empty: none does.
+};
+
 /// The share of the offered requests of the kind that would fit; may be above 1.
-double fitOf(const Demand &demand, const Load &fitting)
+Fit fitOf(const Demand &demand, const Load &fitting)
 {
-    std::optional<double> least;
+    Fit least;
     for (const auto &[service, cost] : demand.cost) {
         const auto fits = fitting.find(service);
-        if (cost > 0.0 && fits != fitting.end())
-            least = std::min(fits->second, least.value_or(fits->second));
+        if (cost > 0.0 && fits != fitting.end() && fits->second < least.share)
+            least = {fits->second, service};
     }
-    return least.value_or(std::numeric_limits<double>::infinity());
+    return least;
 }
 
 double shareOf(const Demand &demand, double fit)
@@ -193,6 +186,21 @@
     return std::max(minimumShare, std::min(1.0, fit) * reduction);
 }
 
+KindDemand kindDemandOf(const Demand &demand, const Fit &fit, double share)
+{
+    KindDemand kind;
+    kind.importance = demand.importance;
+    kind.admittedShare = share;
+    kind.perSecond = demand.perSecond;
+    kind.limitedBy = fit.service;
+    for (const auto &[service, cost] : demand.cost) {
+        kind.work += cost;
+        if (service == fit.service)
+            kind.scarceWork = cost;
+    }
+    return kind;
+}
+
 } // namespace
 
 void noteRoots(RootStatistics &statistics, std::string_view nodeId, std::string_view kind,
@@ -225,8 +233,19 @@
                const std::map<std::string, ServiceCapacity, std::less<>> &capacities,
                const std::map<std::string, ServicePressure, std::less<>> &services, TimePoint now)
 {
-    const std::vector<Demand> demands = demandsOf(statistics, services, now);
     std::map<std::string, double, std::less<>> shares;
+    for (const auto &[kind, demand] : admittedKinds(statistics, capacities, services, now))
+        shares.emplace(kind, demand.admittedShare);
+    return shares;
+}
+
+KindDemands admittedKinds(const RootStatistics &statistics,
+                          const std::map<std::string, ServiceCapacity, std::less<>> &capacities,
+                          const std::map<std::string, ServicePressure, std::less<>> &services,
+                          TimePoint now)
+{
+    const std::vector<Demand> demands = demandsOf(statistics, services, now);
+    KindDemands kinds;
     Load used;
     for (std::size_t level = 0; level < importanceLevels; ++level) {
         const auto isOfLevel = [level](const Demand &demand) {
@@ -241,12 +260,26 @@
         for (const Demand &demand : demands) {
             if (!isOfLevel(demand))
                 continue;
-            const double share = shareOf(demand, fitOf(demand, fitting));
+            const Fit fit = fitOf(demand, fitting);
+            const double share = shareOf(demand, fit.share);
             addLoad(used, demand, share);
-            shares.emplace(std::string(demand.kind), share);
+            kinds.emplace(std::string(demand.kind), kindDemandOf(demand, fit, share));
         }
     }
-    return shares;
+    return kinds;
+}
+
+double rootShareOf(const MeshPressure &mesh, std::string_view kind, std::string_view customer)
+{
+    const auto ofKind = mesh.customerShares.find(kind);
+    if (!customer.empty() && ofKind != mesh.customerShares.end()) {
+        const auto named = ofKind->second.find(customer);
+        const auto found = named == ofKind->second.end() ? ofKind->second.find(othersName) : named;
+        if (found != ofKind->second.end())
+            return found->second;
+    }
+    const auto found = mesh.rootShares.find(kind);
+    return found == mesh.rootShares.end() ? 1.0 : found->second;
 }
 
 bool admitRoot(RootAdmissionCredits &credits, const RootAdmissionCredits::Key &key, double share)
--- a/Libraries/LibPolicy/RootAdmission.h
+++ b/Libraries/LibPolicy/RootAdmission.h
@@ -2,6 +2,8 @@
 
 #include <LibCatalogue/Catalogue.h>
 #include <LibCore/Clock.h>
+#include <LibCore/DecayingSum.h>
+#include <LibCustomers/FairShares.h>
 #include <LibNode/MeshPressure.h>
 
 #include <cstddef>
@@ -18,13 +20,6 @@
 /// demand oscillate.
 namespace chive {
 
-/// A sum that decays exponentially with a time constant.
-struct DecayingSum
-{
-    double value = 0.0;
-    TimePoint updated;
-};
-
 /// Requests of callers of one kind at one node since its last report.
 struct RootCount
 {
@@ -87,6 +82,19 @@
                const std::map<std::string, ServiceCapacity, std::less<>> &capacities,
                const std::map<std::string, ServicePressure, std::less<>> &services, TimePoint now);
 
+/// Returns the kinds as input of fairShares(): the shares of admittedShares(), and for each kind
+/// its work and the service that limits it. The requests by customer are left empty.
+[[nodiscard]] KindDemands
+admittedKinds(const RootStatistics &statistics,
+              const std::map<std::string, ServiceCapacity, std::less<>> &capacities,
+              const std::map<std::string, ServicePressure, std::less<>> &services, TimePoint now);
+
+/// Returns the share of the requests of this kind and customer to admit, 0 to 1. Requests without a
+/// customer get the share of the kind, and so do all customers while no shares of customers are
+/// known.
+[[nodiscard]] double rootShareOf(const MeshPressure &mesh, std::string_view kind,
+                                 std::string_view customer);
+
 /// Admits the share of each kind at one node, evenly spread over the requests. Callers that return
 /// after a refusal get no preference, because it would be at the expense of new requests that can
 /// still be answered in time.
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -1,4 +1,5 @@
 #include <LibCore/Identifier.h>
+#include <LibCustomers/CustomerCredits.h>
 #include <LibHttp/HttpServer.h>
 #include <LibKernel/Kernel.h>
 #include <LibNode/DecisionLines.h>
@@ -156,23 +157,32 @@
         if (call.isNested)
             return std::nullopt;
         const double share = admittedShareOf(call);
-        const bool isAdmitted = admitRoot(rootAdmissionCredits_, {call.kind, call.service}, share);
-        kernel_.bus().post(
-                RootDecided{call.kind, call.service, call.importance, call.objective, isAdmitted});
+        std::uniform_real_distribution<double> draw(0.0, 1.0);
+        const bool isAdmitted
+                = hasSharesOfCustomers(call)
+                          ? admitCustomer(customerCredits_,
+                                          {call.kind, call.service, call.customer}, share,
+                                          draw(random_))
+                          : admitRoot(rootAdmissionCredits_, {call.kind, call.service}, share);
+        kernel_.bus().post(RootDecided{call.kind, call.service, call.importance, call.objective,
+                                       isAdmitted, call.customer});
         if (isAdmitted)
             return std::nullopt;
-        std::uniform_real_distribution<double> draw(0.0, 1.0);
         Verdict verdict = notRun(Reason::Overloaded,
                                  "a service that this request depends on is overloaded");
         verdict.retryAfter = retryAfterFor(share, call.objective, draw(random_));
         return verdict;
     }
 
-    /// The share of requests of this kind that is admitted, from 0 to 1.
+    /// The share of requests of this kind and customer that is admitted, from 0 to 1.
     [[nodiscard]] double admittedShareOf(const Call &call) const
     {
-        const auto found = meshPressure_->rootShares.find(call.kind);
-        return found == meshPressure_->rootShares.end() ? 1.0 : found->second;
+        return rootShareOf(*meshPressure_, call.kind, call.customer);
+    }
+
+    [[nodiscard]] bool hasSharesOfCustomers(const Call &call) const
+    {
+        return !call.customer.empty() && meshPressure_->customerShares.contains(call.kind);
     }
 
     [[nodiscard]] double downstreamPressureOf(const Call &call) const
@@ -285,6 +295,7 @@
     /// Calls that the local target is running, by request id.
     std::map<std::string, std::shared_ptr<const Call>, std::less<>> runningCalls_;
     RootAdmissionCredits rootAdmissionCredits_;
+    CustomerCredits customerCredits_;
     std::size_t bytesHeld_ = 0;
 };
 
--- a/Services/Node/PressureTask.cpp
+++ b/Services/Node/PressureTask.cpp
@@ -1,3 +1,5 @@
+#include <LibCustomers/CustomerDemand.h>
+#include <LibCustomers/FairShares.h>
 #include <LibKernel/Kernel.h>
 #include <LibNode/Messages.h>
 #include <LibPolicy/Collectors.h>
@@ -6,12 +8,17 @@
 #include <LibPolicy/RootAdmission.h>
 #include <LibPolicy/ServicePressure.h>
 
+#include <Node/CustomerMetrics.h>
+
 #include <glog/logging.h>
+#include <nlohmann/json.hpp>
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,6 +35,15 @@
 constexpr double idlePressure = 0.3;
 /// A kind is reported as entering at this node for this long after a request.
 constexpr Milliseconds enteredKindLifetime{5'000};
+/// The report of a node about customers is used for this many report intervals.
+constexpr int customerReportIntervals = 3;
+constexpr Milliseconds minimumCustomerReportLifetime{1'500};
+
+bool isAnythingRefused(const MeshPressure &mesh)
+{
+    return std::ranges::any_of(mesh.rootShares,
+                               [](const auto &share) { return share.second < 1.0; });
+}
 
 /// Reports to the collectors the pressure of the local target and the kinds of requests that enter
 /// at this node. Posts the summary of a collector: the pressure below each service, which kinds are
@@ -51,6 +67,8 @@
                 work_[kind] += seconds;
         });
         bus.subscribe<RootDecided>([this](const RootDecided &decided) { count(decided); });
+        bus.subscribe<CatalogueChanged>(
+                [this](const CatalogueChanged &changed) { setCatalogue(changed.catalogue); });
         bus.subscribe<RootEnded>([this](const RootEnded &ended) { count(ended); });
         bus.subscribe<RouteCall>([this](const RouteCall &message) {
             enteredKinds_[message.call->kind] = {message.call->service, kernel_.clock().now()};
@@ -88,12 +106,35 @@
         TimePoint at; ///< Of the latest request.
     };
 
+    void setCatalogue(std::shared_ptr<const Catalogue> catalogue)
+    {
+        catalogue_ = std::move(catalogue);
+        if (catalogue_->customers.empty() || customerMetrics_)
+            return;
+        customerMetrics_.emplace(kernel_.metrics());
+        kernel_.addStatus("customers", [this] {
+            return customersStatus(customerCounts_, *mesh_, kernel_.clock().now());
+        });
+    }
+
+    [[nodiscard]] bool hasOwnImportance(const std::string &customer) const
+    {
+        const auto found = catalogue_->customers.find(customer);
+        return found != catalogue_->customers.end() && found->second.importance.has_value();
+    }
+
     void count(const RootDecided &decided)
     {
+        if (!decided.customer.empty()) {
+            noteRequest(customerCounts_, decided.kind, decided.customer, decided.isAdmitted,
+                        kernel_.clock().now());
+        }
         const std::chrono::duration<double> objective = decided.objective;
         RootCount &count = rootCounts_[decided.kind];
+        // The importance of a customer takes the place of the kind's, which is what is reported.
+        if (count.service.empty() || !hasOwnImportance(decided.customer))
+            count.importance = decided.importance;
         count.service = decided.service;
-        count.importance = decided.importance;
         count.objective = objective.count();
         count.offered += 1.0;
         if (!decided.isAdmitted)
@@ -135,6 +176,7 @@
         std::erase_if(enteredKinds_, [&](const auto &entry) {
             return now - entry.second.at > enteredKindLifetime;
         });
+        forgetIdle(customerCounts_, now);
         smoothedPressure_ += smoothingFactor * (latestTargetPressure_.pressure - smoothedPressure_);
         const ReportPeriods periods = reportPeriodsFor(*mesh_, smoothedPressure_, members_->size());
         if (++intervalsSinceReport_ >= periods.report && isReportDue()) {
@@ -173,6 +215,8 @@
             own.target.enteredKinds.emplace(kind, entry.service);
         own.roots = takeRootCounts();
         own.work = std::exchange(work_, {});
+        if (!catalogue_->customers.empty() && isAnythingRefused(*mesh_))
+            own.customers = reportOf(customerCounts_, now);
         const auto payload = makeBody(encodeReport(own));
         for (const Member &collector : collectorsOf(*members_)) {
             if (collector.nodeId == own.nodeId)
@@ -211,6 +255,7 @@
     {
         for (const auto &[kind, count] : report.roots)
             noteRoots(rootStatistics_, report.nodeId, kind, count, now);
+        noteCustomers(customerTable_, report.nodeId, std::move(report.customers), now);
         if (report.target.service.empty())
             return;
         noteWork(rootStatistics_, report.target.service, report.work, now);
@@ -222,8 +267,7 @@
     {
         MeshSummary summary{kernel_.settings().nodeId, pressureTable_.byNode.size(),
                             summarize(pressureTable_, now)};
-        summary.mesh.rootShares = admittedShares(rootStatistics_, capacitiesIn(pressureTable_, now),
-                                                 summary.mesh.services, now);
+        addShares(summary.mesh, now);
         const auto payload = makeBody(encodeSummary(summary));
         for (const Member &member : *members_) {
             if (member.nodeId != summary.collector && member.state != MemberState::Dead)
@@ -233,6 +277,28 @@
         storeSummary(std::move(summary));
     }
 
+    /// Adds the admitted shares of the kinds and, if nodes report customers, of the customers.
+    void addShares(MeshPressure &mesh, TimePoint now)
+    {
+        KindDemands kinds = admittedKinds(rootStatistics_, capacitiesIn(pressureTable_, now),
+                                          mesh.services, now);
+        for (const auto &[kind, demand] : kinds)
+            mesh.rootShares.emplace(kind, demand.admittedShare);
+        const Milliseconds lifetime
+                = std::max(minimumCustomerReportLifetime,
+                           customerReportIntervals * reportIntervalFor(members_->size()));
+        forgetOld(customerTable_, lifetime, now);
+        if (customerTable_.nodes.empty())
+            return;
+        CustomerReport total = totalOf(customerTable_);
+        for (auto &[kind, customers] : total.offered) {
+            const auto found = kinds.find(kind);
+            if (found != kinds.end())
+                found->second.offered = std::move(customers);
+        }
+        mesh.customerShares = fairShares(kinds, estimatedSize(total.others));
+    }
+
     void storeSummary(MeshSummary summary)
     {
         const std::string collector = summary.collector;
@@ -255,6 +321,8 @@
         for (const auto &[service, pressure] : mesh->services)
             pressures_.Add({{"service", service}}).Set(pressure.below);
         mesh_ = mesh;
+        if (customerMetrics_)
+            customerMetrics_->update(customerCounts_, *mesh_, now);
         kernel_.bus().post(PressureChanged{mesh});
     }
 
@@ -273,6 +341,10 @@
     PressureTable pressureTable_;                              ///< Used on collectors only.
     RootStatistics rootStatistics_;                            ///< Used on collectors only.
     std::map<std::string, ReceivedSummary> summaries_;         ///< By collector.
+    std::shared_ptr<const Catalogue> catalogue_ = std::make_shared<const Catalogue>();
+    CustomerCounts customerCounts_;
+    CustomerTable customerTable_;                    ///< Used on collectors only.
+    std::optional<CustomerMetrics> customerMetrics_; ///< Once there have been customers.
     Timer timer_;
 };
 
