--- a/Libraries/LibPolicy/DecayingSum.h
+++ b/Libraries/LibCore/DecayingSum.h
@@ -15,17 +15,16 @@
     TimePoint updated;
 };
 
-[[nodiscard]] inline double decayedValue(const DecayingSum &sum,
-                                         std::chrono::duration<double> timeConstant, TimePoint now)
+[[nodiscard]] inline double decayedValue(const DecayingSum &sum, std::chrono::duration<double> time,
+                                         TimePoint now)
 {
     const std::chrono::duration<double> passed = now - sum.updated;
-    return sum.value * std::exp(-std::max(0.0, passed / timeConstant));
+    return sum.value * std::exp(-std::max(0.0, passed / time));
 }
 
-inline void add(DecayingSum &sum, double amount, std::chrono::duration<double> timeConstant,
-                TimePoint now)
+inline void add(DecayingSum &sum, double amount, std::chrono::duration<double> time, TimePoint now)
 {
-    sum.value = decayedValue(sum, timeConstant, now) + amount;
+    sum.value = decayedValue(sum, time, now) + amount;
     sum.updated = now;
 }
 
--- a/Libraries/LibNode/MeshPressure.h
+++ b/Libraries/LibNode/MeshPressure.h
@@ -26,6 +26,9 @@
     /// The share of callers' requests of which the retries can complete the call trees, for each
     /// kind that is limited by rejections. Included in `rootShares`.
     std::map<std::string, double, std::less<>> treeShares;
+    /// The same by kind and customer, for kinds where the share is below 1. The empty name stands
+    /// for customers that are not named. Empty without customers.
+    std::map<std::string, std::map<std::string, double, std::less<>>, std::less<>> customerShares;
 };
 
 } // namespace chive
--- a/Libraries/LibPolicy/MeshReport.cpp
+++ b/Libraries/LibPolicy/MeshReport.cpp
@@ -1,6 +1,7 @@
 #include <LibPolicy/MeshReport.h>
 
 #include <LibCore/Cbor.h>
+#include <LibPolicy/CustomerCodec.h>
 
 #include <nlohmann/json.hpp>
 
@@ -14,9 +15,9 @@
 
 using nlohmann::json;
 
-/// Elements that are present only where there is something to say.
-constexpr std::size_t callsIndex = 8;      ///< Of a report.
-constexpr std::size_t rejectionsIndex = 5; ///< Of a summary.
+/// Elements of the array of a report and of a summary, before the optional parts.
+constexpr std::size_t reportElements = 8;
+constexpr std::size_t summaryElements = 5;
 
 /// Whole numbers take fewer bytes than fractions.
 json encodeCalls(const CallsByKind &calls)
@@ -73,11 +74,12 @@
         report.roots.emplace(kind, readRoot(count));
     for (const auto &[kind, seconds] : parts.at(7).items())
         report.work.emplace(kind, readAmount(seconds));
-    if (parts.size() > callsIndex) {
-        for (const auto &[kind, count] : parts.at(callsIndex).items())
+    if (parts.size() > reportElements && parts.at(reportElements).is_object()) {
+        for (const auto &[kind, count] : parts.at(reportElements).items())
             report.calls.emplace(kind, CallCount{readAmount(count.at(0)), readAmount(count.at(1)),
                                                  readAmount(count.at(2))});
     }
+    report.customers = readOffered(parts, reportElements);
     return report;
 }
 
@@ -95,13 +97,15 @@
     summary.mesh.nestedKinds = parts.at(3).get<std::set<std::string, std::less<>>>();
     for (const auto &[kind, share] : parts.at(4).items())
         summary.mesh.rootShares.emplace(kind, readAmount(share));
-    if (parts.size() > rejectionsIndex) {
-        const json &rejections = parts.at(rejectionsIndex);
+    // The part about customers begins with a text.
+    if (parts.size() > summaryElements && parts.at(summaryElements).at(0).is_object()) {
+        const json &rejections = parts.at(summaryElements);
         for (const auto &[service, share] : rejections.at(0).items())
             summary.mesh.rejectedShares.emplace(service, readAmount(share));
         for (const auto &[kind, share] : rejections.at(1).items())
             summary.mesh.treeShares.emplace(kind, readAmount(share));
     }
+    summary.mesh.customerShares = readShares(parts, summaryElements);
     return summary;
 }
 
@@ -126,6 +130,7 @@
                               json(report.work)});
     if (!report.calls.empty())
         parts.push_back(encodeCalls(report.calls));
+    appendOffered(parts, report.customers);
     std::string bytes;
     json::to_cbor(parts, bytes);
     return bytes;
@@ -147,6 +152,7 @@
     if (!summary.mesh.rejectedShares.empty())
         parts.push_back(
                 json::array({json(summary.mesh.rejectedShares), json(summary.mesh.treeShares)}));
+    appendShares(parts, summary.mesh.customerShares);
     std::string bytes;
     json::to_cbor(parts, bytes);
     return bytes;
--- a/Libraries/LibPolicy/MeshReport.h
+++ b/Libraries/LibPolicy/MeshReport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Result.h>
+#include <LibCustomers/CustomerDemand.h>
 #include <LibPolicy/RootAdmission.h>
 #include <LibPolicy/ServicePressure.h>
 #include <LibPolicy/TreeBudget.h>
@@ -21,6 +22,8 @@
     /// Work of the target since the last report.
     WorkByKind work;
     CallsByKind calls; ///< Calls of the target; only when they are due, see takeCalls().
+    /// Only while something is refused and the catalogue has customers; takes no bytes otherwise.
+    CustomerReport customers = {};
 };
 
 /// The summary that a collector sends to all nodes.
--- a/Libraries/LibQuota/CustomerCounts.cpp
+++ b/Libraries/LibQuota/QuotaCounts.cpp
@@ -1,4 +1,4 @@
-#include <LibQuota/CustomerCounts.h>
+#include <LibQuota/QuotaCounts.h>
 
 #include <algorithm>
 
@@ -13,7 +13,7 @@
 
 } // namespace
 
-void CustomerCounts::note(std::string_view customer, bool isGranted)
+void QuotaCounts::note(std::string_view customer, bool isGranted)
 {
     ++all_;
     auto found = counts_.find(customer);
@@ -31,8 +31,7 @@
     ++(isGranted ? found->second.granted : found->second.refused);
 }
 
-std::vector<std::pair<std::string, CustomerCounts::Count>>
-CustomerCounts::largest(std::size_t most) const
+std::vector<std::pair<std::string, QuotaCounts::Count>> QuotaCounts::largest(std::size_t most) const
 {
     std::vector<std::pair<std::string, Count>> all(counts_.begin(), counts_.end());
     std::ranges::sort(all, std::ranges::greater{},
@@ -41,7 +40,7 @@
     return all;
 }
 
-std::string_view CustomerCounts::labelOf(std::string_view customer)
+std::string_view QuotaCounts::labelOf(std::string_view customer)
 {
     const auto labelled = labels_.find(customer);
     if (labelled != labels_.end())
--- a/Libraries/LibQuota/CustomerCounts.h
+++ b/Libraries/LibQuota/QuotaCounts.h
@@ -14,7 +14,7 @@
 /// Decisions on the requests of customers. The number of customers counted is bounded: when it is
 /// reached, a new one takes the place of the smallest and its total (Space-Saving; Metwally,
 /// Agrawal, El Abbadi, ICDT 2005), so that large customers are never missed.
-class CustomerCounts
+class QuotaCounts
 {
 public:
     struct Count
--- a/Services/Node/Entry/QuotaTask.cpp
+++ b/Services/Node/Entry/QuotaTask.cpp
@@ -1,7 +1,7 @@
 #include <LibKernel/Kernel.h>
 #include <LibNode/Messages.h>
-#include <LibQuota/CustomerCounts.h>
 #include <LibQuota/QuotaAllocator.h>
+#include <LibQuota/QuotaCounts.h>
 #include <LibQuota/TokenPool.h>
 
 #include <glog/logging.h>
@@ -252,8 +252,8 @@
                 {"customers", std::move(customers)}};
     }
 
-    [[nodiscard]] nlohmann::json statusOf(const std::string &name,
-                                          const CustomerCounts::Count &count, TimePoint now) const
+    [[nodiscard]] nlohmann::json statusOf(const std::string &name, const QuotaCounts::Count &count,
+                                          TimePoint now) const
     {
         nlohmann::json report{{"used", count.granted}, {"refused", count.refused}};
         const auto customer = catalogue_->customers.find(name);
@@ -269,7 +269,7 @@
     bool isActive_ = false; ///< Some customer has a rate.
     TokenPool pool_;
     QuotaAllocator allocator_;
-    CustomerCounts counts_;
+    QuotaCounts counts_;
     std::minstd_rand random_{std::random_device{}()};
     prometheus::Family<prometheus::Counter> &decisions_;
     prometheus::Counter *lent_ = nullptr;
--- a/Services/Node/PressureTask.cpp
+++ b/Services/Node/PressureTask.cpp
@@ -1,3 +1,5 @@
+#include <LibCustomers/CustomerDemand.h>
+#include <LibCustomers/FairShares.h>
 #include <LibKernel/Kernel.h>
 #include <LibNode/Messages.h>
 #include <LibPolicy/Collectors.h>
@@ -7,6 +9,8 @@
 #include <LibPolicy/ServicePressure.h>
 #include <LibPolicy/TreeBudget.h>
 
+#include <Node/Mesh/ShareMetrics.h>
+
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 #include <prometheus/gauge.h>
@@ -15,6 +19,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -31,6 +36,15 @@
 constexpr double idlePressure = 0.3;
 /// A kind is reported as entering at this node for this long after a request.
 constexpr Milliseconds enteredKindLifetime{5'000};
+/// The report of a node about customers is used for this many report intervals.
+constexpr int customerReportIntervals = 3;
+constexpr Milliseconds minimumCustomerReportLifetime{1'500};
+
+bool isAnythingRefused(const MeshPressure &mesh)
+{
+    return std::ranges::any_of(mesh.rootShares,
+                               [](const auto &share) { return share.second < 1.0; });
+}
 
 /// Reports to the collectors the pressure of the local target and the kinds of requests that enter
 /// at this node. Posts the summary of a collector: the pressure below each service, which kinds are
@@ -70,6 +84,8 @@
                 noteCalls(calls_, kind, count, kernel_.clock().now());
         });
         bus.subscribe<RootDecided>([this](const RootDecided &decided) { count(decided); });
+        bus.subscribe<CatalogueChanged>(
+                [this](const CatalogueChanged &changed) { setCatalogue(changed.catalogue); });
         bus.subscribe<RootEnded>([this](const RootEnded &ended) { count(ended); });
         bus.subscribe<RouteCall>([this](const RouteCall &message) {
             enteredKinds_[message.call->kind] = {message.call->service, kernel_.clock().now()};
@@ -107,12 +123,35 @@
         TimePoint at; ///< Of the latest request.
     };
 
+    void setCatalogue(std::shared_ptr<const Catalogue> catalogue)
+    {
+        catalogue_ = std::move(catalogue);
+        if (catalogue_->customers.empty() || shareMetrics_)
+            return;
+        shareMetrics_.emplace(kernel_.metrics());
+        kernel_.addStatus("customers", [this] {
+            return customersStatus(customerCounts_, *mesh_, kernel_.clock().now());
+        });
+    }
+
+    [[nodiscard]] bool hasOwnImportance(const std::string &customer) const
+    {
+        const auto found = catalogue_->customers.find(customer);
+        return found != catalogue_->customers.end() && found->second.importance.has_value();
+    }
+
     void count(const RootDecided &decided)
     {
+        if (!decided.customer.empty()) {
+            noteRequest(customerCounts_, decided.kind, decided.customer, decided.isAdmitted,
+                        kernel_.clock().now());
+        }
         const std::chrono::duration<double> objective = decided.objective;
         RootCount &count = rootCounts_[decided.kind];
+        // The importance of a customer takes the place of the kind's, which is what is reported.
+        if (count.service.empty() || !hasOwnImportance(decided.customer))
+            count.importance = decided.importance;
         count.service = decided.service;
-        count.importance = decided.importance;
         count.objective = objective.count();
         count.offered += 1.0;
         if (!decided.isAdmitted)
@@ -154,6 +193,7 @@
         std::erase_if(enteredKinds_, [&](const auto &entry) {
             return now - entry.second.at > enteredKindLifetime;
         });
+        forgetIdle(customerCounts_, now);
         smoothedPressure_ += smoothingFactor * (latestTargetPressure_.pressure - smoothedPressure_);
         ReportPeriods periods = reportPeriodsFor(*mesh_, smoothedPressure_, members_->size());
         if (hasRejections(calls_.calls))
@@ -197,6 +237,8 @@
         own.roots = takeRootCounts();
         own.work = std::exchange(work_, {});
         own.calls = takeCalls(calls_, now);
+        if (!catalogue_->customers.empty() && isAnythingRefused(*mesh_))
+            own.customers = reportOf(customerCounts_, now);
         const auto payload = makeBody(encodeReport(own));
         for (const Member &collector : collectorsOf(*members_)) {
             if (collector.nodeId == own.nodeId)
@@ -237,6 +279,7 @@
             noteRoots(rootStatistics_, report.nodeId, kind, count, now);
         for (const auto &[kind, count] : report.roots)
             noteTreeRoots(treeStatistics_, kind, count, now);
+        noteCustomers(customerTable_, report.nodeId, std::move(report.customers), now);
         if (report.target.service.empty())
             return;
         noteTreeCalls(treeStatistics_, report.target.service, report.calls, now);
@@ -250,9 +293,7 @@
     {
         MeshSummary summary{kernel_.settings().nodeId, pressureTable_.byNode.size(),
                             summarize(pressureTable_, now)};
-        summary.mesh.rootShares = admittedShares(rootStatistics_, capacitiesIn(pressureTable_, now),
-                                                 summary.mesh.services, now);
-        limitTrees(summary.mesh, now);
+        addShares(summary.mesh, now);
         const auto payload = makeBody(encodeSummary(summary));
         for (const Member &member : *members_) {
             if (member.nodeId != summary.collector && member.state != MemberState::Dead)
@@ -285,6 +326,31 @@
             gauges.Add({{label, name}}).Set(share);
     }
 
+    /// Adds the admitted shares of the kinds and, if nodes report customers, of the customers.
+    void addShares(MeshPressure &mesh, TimePoint now)
+    {
+        KindDemands kinds = admittedKinds(rootStatistics_, capacitiesIn(pressureTable_, now),
+                                          mesh.services, now);
+        for (const auto &[kind, demand] : kinds)
+            mesh.rootShares.emplace(kind, demand.admittedShare);
+        limitTrees(mesh, now);
+        for (auto &[kind, demand] : kinds)
+            demand.admittedShare = mesh.rootShares.at(kind);
+        const Milliseconds lifetime
+                = std::max(minimumCustomerReportLifetime,
+                           customerReportIntervals * reportIntervalFor(members_->size()));
+        forgetOld(customerTable_, lifetime, now);
+        if (customerTable_.nodes.empty())
+            return;
+        CustomerReport total = totalOf(customerTable_);
+        for (auto &[kind, customers] : total.offered) {
+            const auto found = kinds.find(kind);
+            if (found != kinds.end())
+                found->second.offered = std::move(customers);
+        }
+        mesh.customerShares = fairShares(kinds, estimatedSize(total.others));
+    }
+
     void storeSummary(MeshSummary summary)
     {
         const std::string collector = summary.collector;
@@ -309,6 +375,8 @@
         publishShares(rejected_, "service", mesh_->rejectedShares, mesh->rejectedShares, 0.0);
         publishShares(treeShares_, "kind", mesh_->treeShares, mesh->treeShares, 1.0);
         mesh_ = mesh;
+        if (shareMetrics_)
+            shareMetrics_->update(customerCounts_, *mesh_, now);
         kernel_.bus().post(PressureChanged{mesh});
     }
 
@@ -332,6 +400,10 @@
     PressureTable pressureTable_;        ///< Used on collectors only.
     RootStatistics rootStatistics_;      ///< Used on collectors only.
     std::map<std::string, ReceivedSummary> summaries_; ///< By collector.
+    std::shared_ptr<const Catalogue> catalogue_ = std::make_shared<const Catalogue>();
+    CustomerCounts customerCounts_;
+    CustomerTable customerTable_;              ///< Used on collectors only.
+    std::optional<ShareMetrics> shareMetrics_; ///< Once there have been customers.
     Timer timer_;
 };
 
