LibQuota: Measure the contact of an allocator with the members

After a partition the member lists agree only after many seconds (24 s at 50 nodes, docs/CAPACITY.md). An allocator that scales its refill by its list alone lends at nearly the whole rate until then, as does the one of the other side.

--- a/Libraries/LibQuota/QuotaAllocator.cpp
+++ b/Libraries/LibQuota/QuotaAllocator.cpp
@@ -1,6 +1,7 @@
 #include <LibQuota/QuotaAllocator.h>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace chive {
@@ -16,6 +17,9 @@
 /// When a question that reached the wrong node, or one that is not ready, is asked again.
 constexpr Milliseconds notReadyWait{50};
 
+/// Contact with the members is measured for this long after a question.
+constexpr std::chrono::seconds contactTime{5};
+
 /// Whether two lists make the same node the allocator of every customer.
 bool haveSameNodes(std::span<const Member> left, std::span<const Member> right)
 {
@@ -30,6 +34,7 @@
     : nodeId_(std::move(nodeId))
     , bound_(bound)
     , catalogue_(std::make_shared<const Catalogue>())
+    , contact_(static_cast<std::uint32_t>(std::hash<std::string>{}(nodeId_)))
     , createdAt_(now)
     , lastRunAt_(now)
     , lendsFrom_(now + holdOff)
@@ -44,6 +49,12 @@
 void QuotaAllocator::setMembers(std::span<const Member> members, TimePoint now)
 {
     known_.setMembers(members, now);
+    std::vector<Endpoint> others;
+    for (const Member &member : members) {
+        if (member.state == MemberState::Alive && member.nodeId != nodeId_)
+            others.push_back(member.links);
+    }
+    contact_.setMembers(std::move(others));
     std::vector<Member> allocators = allocatorsOf(members);
     if (!haveSameNodes(allocators, allocators_)) {
         allocators_ = std::move(allocators);
@@ -52,7 +63,7 @@
         lendsFrom_ = now + holdOff;
         std::erase_if(buckets_, [this](const auto &entry) { return !isAllocatorOf(entry.first); });
     }
-    applyLimits(now);
+    updateShare(now);
 }
 
 void QuotaAllocator::tick(TimePoint now)
@@ -62,8 +73,20 @@
     std::erase_if(buckets_, [this, now](const auto &entry) {
         return lendsFrom_ < now - std::chrono::minutes(1) && entry.second.isFull(now);
     });
-    if (known_.aliveShare(now) != share_)
-        applyLimits(now);
+    if (now - lastQuestionAt_ < contactTime)
+        contact_.advance(now);
+    else
+        contact_.reset();
+    updateShare(now);
+}
+
+void QuotaAllocator::updateShare(TimePoint now)
+{
+    const double share = known_.aliveShare(now) * contact_.share(now).value_or(1.0);
+    if (share == share_)
+        return;
+    share_ = share;
+    applyLimits(now);
 }
 
 void QuotaAllocator::noteRunning(TimePoint now)
@@ -76,12 +99,12 @@
 void QuotaAllocator::startAgain(TimePoint now)
 {
     buckets_.clear();
+    contact_.reset();
     lendsFrom_ = now + holdOff;
 }
 
 void QuotaAllocator::applyLimits(TimePoint now)
 {
-    share_ = known_.aliveShare(now);
     for (auto entry = buckets_.begin(); entry != buckets_.end();) {
         const auto found = catalogue_->customers.find(entry->first);
         if (found == catalogue_->customers.end() || found->second.quota.ratePerSecond <= 0.0) {
@@ -105,6 +128,11 @@
     return allocator != nullptr && allocator->nodeId == nodeId_;
 }
 
+bool QuotaAllocator::acceptsAllocator(const Endpoint &links) const
+{
+    return std::ranges::find(allocators_, links, &Member::links) != allocators_.end();
+}
+
 QuotaBucket *QuotaAllocator::bucketOf(const std::string &customer)
 {
     const auto existing = buckets_.find(customer);
@@ -121,7 +149,8 @@
 
 LentTokens QuotaAllocator::lend(const WantedTokens &wanted, LeaseStamp stamp, TimePoint now)
 {
-    if (!isAllocatorOf(wanted.customer) || catalogue_->version == 0)
+    const bool hasContact = contact_.share(now).has_value();
+    if (!hasContact || !isAllocatorOf(wanted.customer) || catalogue_->version == 0)
         return {0, notReadyWait, longestTokenWait};
     QuotaBucket *bucket = bucketOf(wanted.customer);
     if (bucket == nullptr) // This node's configuration does not limit the customer.
@@ -138,6 +167,11 @@
 TokenAnswer QuotaAllocator::answer(const TokenQuestion &question, TimePoint now)
 {
     noteRunning(now);
+    if (now - lastQuestionAt_ >= contactTime)
+        contact_.reset();
+    lastQuestionAt_ = now;
+    contact_.advance(now);
+    updateShare(now);
     TokenAnswer answer;
     answer.id = question.id;
     answer.stamp = static_cast<LeaseStamp>((now - createdAt_) / leaseSlot);
--- a/Libraries/LibQuota/QuotaAllocator.h
+++ b/Libraries/LibQuota/QuotaAllocator.h
@@ -3,6 +3,7 @@
 #include <LibCatalogue/Catalogue.h>
 #include <LibNode/Messages.h>
 #include <LibQuota/Allocators.h>
+#include <LibQuota/ContactShare.h>
 #include <LibQuota/QuotaBucket.h>
 #include <LibQuota/QuotaMessage.h>
 #include <LibSettings/Settings.h>
@@ -35,6 +36,13 @@
     /// Returns nothing to lend for customers of other allocators.
     [[nodiscard]] TokenAnswer answer(const TokenQuestion &question, TimePoint now);
 
+    /// Returns the members to send a ContactProbe of contactRound() to.
+    [[nodiscard]] std::vector<Endpoint> takeProbes() { return contact_.takeProbes(); }
+    [[nodiscard]] std::uint64_t contactRound() const { return contact_.round(); }
+    void receive(const ContactEcho &echo) { contact_.noteEcho(echo.round); }
+    /// Whether the node is an allocator in this node's list, so that its probe is answered.
+    [[nodiscard]] bool acceptsAllocator(const Endpoint &links) const;
+
     [[nodiscard]] const std::vector<Member> &allocators() const { return allocators_; }
     [[nodiscard]] bool isAllocator() const { return isAllocator_; }
     [[nodiscard]] std::size_t buckets() const { return buckets_.size(); }
@@ -46,6 +54,7 @@
     [[nodiscard]] bool isAllocatorOf(std::string_view customer) const;
     [[nodiscard]] LentTokens lend(const WantedTokens &wanted, LeaseStamp stamp, TimePoint now);
     [[nodiscard]] QuotaBucket *bucketOf(const std::string &customer);
+    void updateShare(TimePoint now);
     void applyLimits(TimePoint now);
     void setLimits(QuotaBucket &bucket, const CustomerQuota &quota, TimePoint now) const;
     void startAgain(TimePoint now);
@@ -55,11 +64,13 @@
     Settings::QuotaBound bound_;
     std::shared_ptr<const Catalogue> catalogue_;
     KnownMembers known_;
+    ContactShare contact_;
     std::vector<Member> allocators_;
     bool isAllocator_ = false;
     double share_ = 0.0;
     TimePoint createdAt_;
     TimePoint lastRunAt_;
+    TimePoint lastQuestionAt_;
     TimePoint lendsFrom_; ///< Customers without a bucket here are lent nothing before.
     std::map<std::string, QuotaBucket, std::less<>> buckets_;
 };
--- a/Libraries/LibQuota/QuotaMessage.cpp
+++ b/Libraries/LibQuota/QuotaMessage.cpp
@@ -15,6 +15,8 @@
 
 constexpr int questionType = 0;
 constexpr int answerType = 1;
+constexpr int probeType = 3;
+constexpr int echoType = 4;
 constexpr int shortAnswerType = 2; ///< Without times, as everything was lent.
 /// Limits what a corrupt message can make a node do.
 constexpr std::uint64_t mostTokens = 1'000'000;
@@ -36,7 +38,7 @@
     return Milliseconds(std::min(unsignedOf(json), longestTime));
 }
 
-Json encodeQuestion(const TokenQuestion &question)
+Json toJson(const TokenQuestion &question)
 {
     Json wanted = Json::array();
     for (const WantedTokens &tokens : question.wanted) {
@@ -58,7 +60,7 @@
     return tokens.nextIn.count() > 0 || tokens.retryAfter.count() > 0;
 }
 
-Json encodeAnswer(const TokenAnswer &answer)
+Json toJson(const TokenAnswer &answer)
 {
     const bool isShort = std::ranges::none_of(answer.lent, hasTimes);
     Json lent = Json::array();
@@ -73,6 +75,16 @@
             {isShort ? shortAnswerType : answerType, answer.id, answer.stamp, std::move(lent)});
 }
 
+Json toJson(const ContactProbe &probe)
+{
+    return Json::array({probeType, probe.round});
+}
+
+Json toJson(const ContactEcho &echo)
+{
+    return Json::array({echoType, echo.round});
+}
+
 TokenQuestion parseQuestion(const Json &json)
 {
     TokenQuestion question;
@@ -111,9 +123,7 @@
 
 std::string encodeQuotaMessage(const QuotaMessage &message)
 {
-    const auto *question = std::get_if<TokenQuestion>(&message);
-    const Json json
-            = question != nullptr ? encodeQuestion(*question) : encodeAnswer(std::get<1>(message));
+    const Json json = std::visit([](const auto &content) { return toJson(content); }, message);
     std::string bytes;
     Json::to_cbor(json, bytes);
     return bytes;
@@ -128,6 +138,10 @@
             return QuotaMessage(parseQuestion(json));
         if (type == answerType || type == shortAnswerType)
             return QuotaMessage(parseAnswer(json, type == shortAnswerType));
+        if (type == probeType)
+            return QuotaMessage(ContactProbe{unsignedOf(json.at(1))});
+        if (type == echoType)
+            return QuotaMessage(ContactEcho{unsignedOf(json.at(1))});
         return Error{Error::Kind::Invalid, "unknown type of quota message"};
     } catch (const Json::exception &exception) {
         return Error{Error::Kind::Invalid, exception.what()};
--- a/Libraries/LibQuota/QuotaMessage.h
+++ b/Libraries/LibQuota/QuotaMessage.h
@@ -61,7 +61,23 @@
     bool operator==(const TokenAnswer &) const = default;
 };
 
-using QuotaMessage = std::variant<TokenQuestion, TokenAnswer>;
+/// Allocator to any member: answer if this node is an allocator in your list (ContactShare).
+struct ContactProbe
+{
+    std::uint64_t round = 0;
+
+    bool operator==(const ContactProbe &) const = default;
+};
+
+/// The answer to a probe of that round.
+struct ContactEcho
+{
+    std::uint64_t round = 0;
+
+    bool operator==(const ContactEcho &) const = default;
+};
+
+using QuotaMessage = std::variant<TokenQuestion, TokenAnswer, ContactProbe, ContactEcho>;
 
 /// Encodes a message in CBOR (RFC 8949), fields by position.
 [[nodiscard]] std::string encodeQuotaMessage(const QuotaMessage &message);
--- a/Services/Node/Entry/QuotaTask.cpp
+++ b/Services/Node/Entry/QuotaTask.cpp
@@ -146,6 +146,19 @@
             act();
     }
 
+    void tick()
+    {
+        allocator_.tick(kernel_.clock().now());
+        sendProbes();
+    }
+
+    void sendProbes()
+    {
+        const ContactProbe probe{allocator_.contactRound()};
+        for (const Endpoint &peer : allocator_.takeProbes())
+            send(peer, probe);
+    }
+
     void decide(const TokensWanted &wanted)
     {
         const auto customer = catalogue_->customers.find(wanted.customer);
@@ -206,12 +219,13 @@
     TokenAnswer lend(const TokenQuestion &question, TimePoint now)
     {
         TokenAnswer answer = allocator_.answer(question, now);
+        sendProbes();
         for (const LentTokens &lent : answer.lent)
             lent_->Increment(lent.count);
         return answer;
     }
 
-    void send(const Endpoint &peer, QuotaMessage message)
+    void send(const Endpoint &peer, const QuotaMessage &message)
     {
         kernel_.bus().post(SendToPeer{peer, LinkClass::Control, Topic::Quota,
                                       makeBody(encodeQuotaMessage(message))});
@@ -232,8 +246,16 @@
                 send(frame.peer, std::move(answer));
             return;
         }
-        pool_.receive(std::get<TokenAnswer>(message.value()), now);
-        act();
+        if (const auto *answer = std::get_if<TokenAnswer>(&message.value())) {
+            pool_.receive(*answer, now);
+            act();
+        }
+        if (const auto *probe = std::get_if<ContactProbe>(&message.value())) {
+            if (allocator_.acceptsAllocator(frame.peer))
+                send(frame.peer, ContactEcho{probe->round});
+        }
+        if (const auto *echo = std::get_if<ContactEcho>(&message.value()))
+            allocator_.receive(*echo);
     }
 
     [[nodiscard]] nlohmann::json status() const
--- a/Tests/LibQuota/QuotaSimulation.cpp
+++ b/Tests/LibQuota/QuotaSimulation.cpp
@@ -160,20 +160,39 @@
     }
     if (const auto *question = std::get_if<TokenQuestion>(&message)) {
         TokenAnswer answer = node.allocator->answer(*question, now_);
+        sendProbes(to);
         if (question->id != 0)
             send(to, from, std::move(answer));
         return;
     }
+    if (const auto *probe = std::get_if<ContactProbe>(&message)) {
+        if (node.allocator->acceptsAllocator(nodes_[from].member.links))
+            send(to, from, ContactEcho{probe->round});
+        return;
+    }
+    if (const auto *echo = std::get_if<ContactEcho>(&message)) {
+        node.allocator->receive(*echo);
+        return;
+    }
     node.pool->receive(std::get<TokenAnswer>(message), now_);
     act(to);
 }
 
+void QuotaSimulation::sendProbes(std::size_t node)
+{
+    const ContactProbe probe{nodes_[node].allocator->contactRound()};
+    for (const Endpoint &peer : nodes_[node].allocator->takeProbes())
+        send(node, byEndpoint_.at(peer), probe);
+}
+
 void QuotaSimulation::tick(std::size_t node, std::uint64_t start)
 {
     if (nodes_[node].start != start)
         return;
-    if (!nodes_[node].isFrozen)
+    if (!nodes_[node].isFrozen) {
         nodes_[node].allocator->tick(now_);
+        sendProbes(node);
+    }
     after(allocatorTick, [this, node, start] { tick(node, start); });
 }
 
--- a/Tests/LibQuota/QuotaSimulation.h
+++ b/Tests/LibQuota/QuotaSimulation.h
@@ -108,6 +108,7 @@
     void create(Node &node);
     void send(std::size_t from, std::size_t to, QuotaMessage message);
     void deliver(std::size_t from, std::size_t to, const QuotaMessage &message);
+    void sendProbes(std::size_t node);
     void act(std::size_t node);
     void decide(std::size_t node, const TokenDecision &decided);
     void tick(std::size_t node, std::uint64_t start);
--- a/Tests/LibQuota/TestQuotaBound.cpp
+++ b/Tests/LibQuota/TestQuotaBound.cpp
@@ -102,6 +102,32 @@
         }
     }
 
+    /// Members that are cut off are noticed one after the other, by each node at other times, as
+    /// after a partition of many nodes.
+    void spreadViewsSlowly(int detection)
+    {
+        for (std::size_t i = 0; i < simulation_.nodes(); ++i) {
+            std::vector<std::size_t> lost;
+            for (std::size_t j = 0; j < simulation_.nodes(); ++j) {
+                if (isCutOff_[i] != isCutOff_[j])
+                    lost.push_back(j);
+            }
+            std::shuffle(lost.begin(), lost.end(), simulation_.random());
+            auto view = std::make_shared<std::vector<std::size_t>>(simulation_.nodes());
+            std::iota(view->begin(), view->end(), 0);
+            int at = detection;
+            for (const std::size_t j : lost) {
+                simulation_.after(Milliseconds(at), [this, i, j, view] {
+                    if (isCutOff_[i] == isCutOff_[j])
+                        return; // The partition has healed.
+                    std::erase(*view, j);
+                    simulation_.setView(i, *view);
+                });
+                at += random(0, 2'500);
+            }
+        }
+    }
+
     void setCuts(bool isCut, bool isOneWay)
     {
         for (std::size_t i = 0; i < simulation_.nodes(); ++i) {
@@ -122,7 +148,10 @@
             isCutOff_[i] = random(0, 2) == 0;
         setCuts(true, random(0, 1) == 0);
         const int detection = random(1'200, 4'000);
-        spreadViews(detection);
+        if (random(0, 1) == 0)
+            spreadViews(detection);
+        else
+            spreadViewsSlowly(detection);
         simulation_.after(Milliseconds(detection + random(1'000, 9'000)), [this] {
             setCuts(false, false);
             isCutOff_.assign(simulation_.nodes(), false);
--- a/Tests/LibQuota/TestQuotaMessage.cpp
+++ b/Tests/LibQuota/TestQuotaMessage.cpp
@@ -30,6 +30,10 @@
         const auto parsed = parseQuotaMessage(encodeQuotaMessage(answer));
         REQUIRE(parsed.has_value());
         CHECK(std::get<TokenAnswer>(parsed.value()) == answer);
+        const auto probe = parseQuotaMessage(encodeQuotaMessage(ContactProbe{9}));
+        CHECK(std::get<ContactProbe>(probe.value()) == ContactProbe{9});
+        const auto echo = parseQuotaMessage(encodeQuotaMessage(ContactEcho{9}));
+        CHECK(std::get<ContactEcho>(echo.value()) == ContactEcho{9});
         const TokenAnswer granted{77, 15, {{12, {}, {}}, {1, {}, {}}}};
         const auto shortAnswer = parseQuotaMessage(encodeQuotaMessage(granted));
         REQUIRE(shortAnswer.has_value());
