TestPressureTask: Name the calls of a target's load

The load that a target reports has a further member since calls and rejections are counted by the kind of the root; the test did not build with it.

--- a/Tests/Node/TestPressureTask.cpp
+++ b/Tests/Node/TestPressureTask.cpp
@@ -70,7 +70,7 @@
     void offer(bool hasCustomers)
     {
         ++steps;
-        TargetPressure pressure{"search", 1.5, slots, 0.0, {}};
+        TargetPressure pressure{"search", 1.5, slots, 0.0, {}, {}};
         for (int i = 0; i < 10; ++i) {
             const bool isLarge = i % 2 == 0;
             const std::string small = "small-" + std::to_string((steps * 5 + i / 2) % 20);
