EntryTask: Answer 401 to keys with control bytes

Cause: http_parser refuses a header with control bytes as an error of HTTP, so that a malformed key was answered 400 and its connection closed, also on routes that need no key.

Change: where the configuration has customers, the Authorization header of callers may hold any byte; the dialect refuses such a key, and never passes the header on. The parser is lenient then, so that RequestReader itself checks all other headers and the encodings of the body. Without customers the parser is as strict as before.

Ruled out: refusing it with 401 in the reader, which knows no routes.

--- a/Libraries/LibCustomers/BearerKey.cpp
+++ b/Libraries/LibCustomers/BearerKey.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr std::string_view keyHeader = "Authorization";
 constexpr std::string_view scheme = "Bearer";
 /// Bytes. Longer values are refused without computing their digest.
 constexpr std::size_t longestKey = 4'096;
@@ -20,7 +19,8 @@
 
 BearerKey readBearerKey(std::span<const Header> headers)
 {
-    const auto isKey = [](const Header &header) { return isKeyHeader(header.first); };
+    const auto isKey
+            = [](const Header &header) { return isSameHeaderName(header.first, keyHeader); };
     const auto first = std::ranges::find_if(headers, isKey);
     if (first == headers.end())
         return {};
@@ -41,9 +41,4 @@
     return {KeyPresence::Present, key};
 }
 
-bool isKeyHeader(std::string_view name)
-{
-    return isSameHeaderName(name, keyHeader);
-}
-
 } // namespace chive
--- a/Libraries/LibCustomers/BearerKey.h
+++ b/Libraries/LibCustomers/BearerKey.h
@@ -8,6 +8,8 @@
 
 namespace chive {
 
+inline constexpr std::string_view keyHeader = "Authorization";
+
 enum class KeyPresence : std::uint8_t {
     Absent,    ///< There is no Authorization header.
     Malformed, ///< The header is not a single key of the scheme Bearer.
@@ -23,7 +25,4 @@
 
 [[nodiscard]] BearerKey readBearerKey(std::span<const Header> headers);
 
-/// Whether the header carries a key.
-[[nodiscard]] bool isKeyHeader(std::string_view name);
-
 } // namespace chive
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -47,6 +47,10 @@
     /// Answers a request with 408 whose head takes longer to come, but never sooner. 0: none.
     void setHeadTimeout(Milliseconds timeout) { context_.headTimeout = timeout; }
 
+    /// From now on, requests whose header of this name holds control bytes reach the handler, which
+    /// must not pass it on. In other headers they make the request malformed. Empty: none.
+    void allowControlBytesIn(std::string_view header) { context_.headerWithAnyBytes = header; }
+
     /// Requests of which some bytes have come and others have not. The handler has not seen them.
     [[nodiscard]] std::size_t receiving() const;
 
--- a/Libraries/LibHttp/HttpServerConnection.cpp
+++ b/Libraries/LibHttp/HttpServerConnection.cpp
@@ -237,6 +237,7 @@
         deferred_.reset();
         serve(std::move(next.request), next.version);
     }
+    reader_.allowControlBytesIn(context_.headerWithAnyBytes);
     while (canReadRequest()) {
         evbuffer *input = bufferevent_get_input(handle_);
         const std::size_t size = evbuffer_get_contiguous_space(input);
--- a/Libraries/LibHttp/HttpServerConnection.h
+++ b/Libraries/LibHttp/HttpServerConnection.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 struct bufferevent;
@@ -27,6 +28,7 @@
     Milliseconds idleTimeout{0};      ///< 0: none.
     Milliseconds headTimeout{0};      ///< 0: none.
     bool closesAfterResponses = false;
+    std::string headerWithAnyBytes = {}; ///< Its values may hold control bytes; empty: none.
     std::uint64_t lastIdleOrder = 0;
     std::function<void(HttpRequest, std::shared_ptr<HttpExchange>)> handler = {};
     /// Called once for each connection, which must not be destroyed in the call.
--- a/Libraries/LibHttp/RequestReader.cpp
+++ b/Libraries/LibHttp/RequestReader.cpp
@@ -34,6 +34,14 @@
     }
 }
 
+/// RFC 9110 section 5.5.
+bool hasControlBytes(std::string_view value)
+{
+    return std::ranges::any_of(value, [](char c) {
+        return (static_cast<unsigned char>(c) < 0x20 && c != '\t') || c == 0x7F;
+    });
+}
+
 } // namespace
 
 struct RequestReader::Parser
@@ -46,6 +54,7 @@
     bool keepsConnection = true;
     std::size_t maximumBodySize = 0;
     std::size_t bytesTaken = 0;
+    std::string headerWithAnyBytes; ///< Its values may hold control bytes; empty: none.
     HttpRequest request;
     std::string body;
 
@@ -55,6 +64,8 @@
     {
         http_parser_init(&machine, HTTP_REQUEST);
         machine.data = this;
+        // The parser's own checks of control bytes and of encodings of the body are repeated below.
+        machine.lenient_http_headers = headerWithAnyBytes.empty() ? 0 : 1;
         state = State::Empty;
         request = {};
         request.target.clear();
@@ -106,6 +117,11 @@
     static int onHeaderValue(http_parser *machine, const char *bytes, std::size_t size)
     {
         Parser &self = of(machine);
+        const bool mayHoldAnyBytes
+                = !self.isHeadRead && !self.headerWithAnyBytes.empty()
+                  && isSameHeaderName(self.request.headers.back().first, self.headerWithAnyBytes);
+        if (!mayHoldAnyBytes && hasControlBytes({bytes, size}))
+            return self.fail(State::Malformed);
         if (self.isHeadRead)
             return 0;
         self.isNameOpen = false;
@@ -122,7 +138,9 @@
                 = std::ranges::any_of(self.request.headers, [](const Header &one) {
                       return one.first.find(' ') != std::string::npos;
                   });
-        if (hasNameWithSpace || machine->http_major != 1)
+        const bool hasUnknownEncoding
+                = machine->uses_transfer_encoding != 0 && (machine->flags & F_CHUNKED) == 0;
+        if (hasNameWithSpace || hasUnknownEncoding || machine->http_major != 1)
             return self.fail(State::Malformed);
         if (!isSupported(machine->method))
             return self.fail(State::Unsupported);
@@ -171,6 +189,15 @@
 
 RequestReader::~RequestReader() = default;
 
+void RequestReader::allowControlBytesIn(std::string_view header)
+{
+    if (parser_->headerWithAnyBytes == header)
+        return;
+    parser_->headerWithAnyBytes = header;
+    if (parser_->state == State::Empty)
+        parser_->reset();
+}
+
 std::size_t RequestReader::feed(std::string_view bytes)
 {
     Parser &parser = *parser_;
--- a/Libraries/LibHttp/RequestReader.h
+++ b/Libraries/LibHttp/RequestReader.h
@@ -29,6 +29,10 @@
     RequestReader(const RequestReader &) = delete;
     RequestReader &operator=(const RequestReader &) = delete;
 
+    /// From the next request on, values of this header may hold control bytes, so that whoever
+    /// reads the request refuses it. In all others they make the request malformed. Empty: none.
+    void allowControlBytesIn(std::string_view header);
+
     /// Takes bytes up to the end of the request. Returns how many belong to it.
     std::size_t feed(std::string_view bytes);
 
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -1,4 +1,5 @@
 #include <LibCore/Identifier.h>
+#include <LibCustomers/BearerKey.h>
 #include <LibHttp/HttpServer.h>
 #include <LibKernel/Kernel.h>
 #include <LibNode/DecisionLines.h>
@@ -76,7 +77,7 @@
         server_ = std::move(server.value());
         server_->countIn(kernel_.descriptors().callers);
         server_->setMaximumPipelined(maximumPipelined);
-        applyTimeouts();
+        applyToServer();
     }
 
 private:
@@ -93,7 +94,7 @@
         catalogue_ = std::move(catalogue);
         callerKeys_.table = buildCustomerKeys(*catalogue_, callerKeys_.table);
         callerKeys_.isNewerVersionKnown = newestVersionKnown_ > catalogue_->version;
-        applyTimeouts();
+        applyToServer();
     }
 
     /// Whether a request without a key is one that the local target makes. A call whose parent has
@@ -105,12 +106,15 @@
                && (runningCalls_.contains(parent) || meshPressure_->nestedKinds.contains(kind));
     }
 
-    void applyTimeouts()
+    void applyToServer()
     {
         if (server_ == nullptr)
             return;
         server_->setIdleTimeout(catalogue_->idleTimeout);
         server_->setHeadTimeout(catalogue_->headTimeout);
+        // Malformed keys are refused as such, and never passed on.
+        server_->allowControlBytesIn(catalogue_->customers.empty() ? std::string_view()
+                                                                   : keyHeader);
     }
 
     void handleRequest(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange)
--- a/Tests/LibHttp/TestRequestReader.cpp
+++ b/Tests/LibHttp/TestRequestReader.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -122,3 +123,56 @@
     reader.feed("dy");
     CHECK(reader.state() == State::Complete);
 }
+
+TEST_CASE("Control bytes make a request malformed, except in the header that may hold them")
+{
+    const auto read = [](const std::string &headers, std::string_view allowed) {
+        auto reader = std::make_unique<RequestReader>(bodyLimit);
+        reader->allowControlBytesIn(allowed);
+        reader->feed("POST / HTTP/1.1\r\n" + headers + "\r\n");
+        return reader;
+    };
+    const std::string key = "Bearer \x01k\x7F" + std::string(1, '\0') + "\x1B";
+    const std::string header = "authorization: " + key + "\r\n";
+    CHECK(read(header, "")->state() == State::Malformed);
+    const auto reader = read(header + "X-Next: 1\r\n", "Authorization");
+    REQUIRE(reader->state() == State::Complete);
+    const HttpRequest request = reader->take();
+    CHECK(findHeader(request.headers, "Authorization") == key);
+    CHECK(findHeader(request.headers, "X-Next") == "1");
+
+    SUBCASE("and whatever else makes one malformed still does")
+    {
+        const std::string trailers = "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+        for (const std::string &headers : {
+                     "X-Other: \x01\r\n" + header,
+                     header + "X-Other: \x7F\r\n",
+                     trailers + "X-Trailer: \x01\r\n",
+                     trailers + header,
+                     header + "Transfer-Encoding: gzip\r\n",
+                     header + "Transfer-Encoding: gzip\r\nContent-Length: 0\r\n",
+                     header + "Transfer-Encoding: chunked, gzip\r\n",
+                     header + "Transfer-Encoding: chunked\r\nContent-Length: 0\r\n",
+                     header + "Content-Length: 0\r\nContent-Length: 1\r\n",
+                     header + "Content-Length : 4\r\n",
+                     std::string("Authorization: Bearer k\rX: y\r\n"),
+             }) {
+            CAPTURE(headers);
+            CHECK(read(headers, "Authorization")->state() == State::Malformed);
+        }
+    }
+    SUBCASE("on an open connection, from the next request on")
+    {
+        RequestReader open(bodyLimit);
+        const std::string next = "GET / HTTP/1.1\r\n" + header + "\r\n";
+        open.feed("GET / HTTP/1.1\r\n\r\n");
+        (void)open.take();
+        open.allowControlBytesIn("Authorization");
+        open.feed(next);
+        REQUIRE(open.state() == State::Complete);
+        (void)open.take();
+        open.allowControlBytesIn("");
+        open.feed(next);
+        CHECK(open.state() == State::Malformed);
+    }
+}
--- a/Tests/Platform/TestEntryKeys.cpp
+++ b/Tests/Platform/TestEntryKeys.cpp
@@ -106,6 +106,15 @@
     CHECK(node.send("n1") == 401);
     CHECK(node.send("n2") == 200);
 
+    SUBCASE("as is a value with control bytes, which is an error of HTTP without customers")
+    {
+        CHECK(node.send("n2\x01") == 401);
+        CHECK(node.send("n2") == 200);
+        auto without = std::make_shared<Catalogue>(*catalogueWith(3, {}));
+        without->customers.clear();
+        node.post(CatalogueChanged{without});
+        CHECK(node.send("n2\x01") == 400);
+    }
     SUBCASE("and not accepted again if the record of the version is replaced")
     {
         node.post(CatalogueChanged{catalogueWith(2, {"n1", "n2"})});
