ConfigurationTask: Send peers digests in place of customers' keys

Cause: nodes send each other the operator's record, which holds the text of all keys, while no message between nodes may hold one.

Change: the protocol of the store rewrites a record with customers before it is kept for peers. The rewritten record is read as the original, and compared where a record of the same version may have been replaced, as a peer's and the store's form of one record differ otherwise. Records without customers are sent byte for byte as before.

Ruled out: to encrypt records, which needs a secret that all nodes share.

--- a/Libraries/LibLog/StoreProtocol.h
+++ b/Libraries/LibLog/StoreProtocol.h
@@ -72,6 +72,9 @@
 
     /// Parses a record of StoreTopic::Configuration.
     Result<Catalogue> (*readConfiguration)(std::string_view record) = nullptr;
+    /// The record as nodes send it to each other, with digests in place of customers' keys. It is
+    /// read as the record itself.
+    std::string (*recordForPeers)(std::string_view record) = nullptr;
     std::string_view configurationKey;
 };
 
--- a/Services/Node/ConfigurationTask.cpp
+++ b/Services/Node/ConfigurationTask.cpp
@@ -124,16 +124,18 @@
                          << " error=\"" << catalogue.error().message << '"';
             return;
         }
+        std::string shared
+                = catalogue.value().customers.empty() ? record : protocol_.recordForPeers(record);
         // Operators write to the store only, so a version whose record they replace is taken from
         // there. Peers may still hold the record that was replaced.
         const bool isReplaced = source == storeSource && catalogue.value().version == version_
-                                && record != *latestRecord_;
+                                && shared != *latestRecord_;
         if (catalogue.value().version <= version_ && !isReplaced)
             return;
         version_ = catalogue.value().version;
         source_ = source;
         report_ = report;
-        latestRecord_ = std::make_shared<const std::string>(record);
+        latestRecord_ = std::make_shared<const std::string>(std::move(shared));
         versionGauge_.Set(static_cast<double>(version_));
         LOG(INFO) << "task=configuration event=in-force version=" << version_
                   << " source=" << source << " hosts=" << catalogue.value().routes.size();
@@ -262,6 +264,7 @@
     std::uint64_t version_ = 0;
     std::string source_ = "none";
     VersionReport report_ = VersionReport::Received; ///< Of the version in force.
+    /// As it is sent to peers.
     std::shared_ptr<const std::string> latestRecord_ = std::make_shared<const std::string>();
     std::map<Endpoint, LaggingPeer> laggingPeers_;
     std::uint64_t newestHeard_ = 0; ///< The newest version that peers have announced.
--- a/Tests/Platform/TestConfiguration.cpp
+++ b/Tests/Platform/TestConfiguration.cpp
@@ -87,6 +87,46 @@
     }
 }
 
+TEST_CASE("Nodes exchange the record without the text of any key")
+{
+    const std::string customers
+            = R"("tenants":[{"name":"north","apiKeys":["first-key","second-key"],"priority":1,
+"ratePerS":4,"burstSize":8},{"name":"east","apiKeys":[]}],)";
+    const std::string original = with("\"limits\"", customers + "\"limits\"");
+    const std::string shared = platform::recordForPeers(original);
+    CHECK(shared.find("first-key") == std::string::npos);
+    CHECK(shared.find("second-key") == std::string::npos);
+
+    SUBCASE("which gives a peer the same catalogue")
+    {
+        const auto own = platform::readConfiguration(original);
+        const auto received = platform::readConfiguration(shared);
+        REQUIRE(own.has_value());
+        REQUIRE(received.has_value());
+        CHECK(received.value() == own.value());
+    }
+    SUBCASE("and passes on unchanged from peer to peer")
+    {
+        CHECK(platform::recordForPeers(shared) == shared);
+    }
+    SUBCASE("and byte for byte where there are no customers")
+    {
+        CHECK(platform::recordForPeers(record) == record);
+        const std::string empty = with("\"limits\"", "\"tenants\":[],\"limits\"");
+        CHECK(platform::recordForPeers(empty) == empty);
+    }
+    SUBCASE("whatever the record holds")
+    {
+        for (const std::string customersField :
+             {"5", "[5]", "[{}]", R"([{"apiKeys":5}])", "null"}) {
+            const std::string odd
+                    = with("\"limits\"", "\"tenants\":" + customersField + ",\"limits\"");
+            CHECK(platform::recordForPeers(odd) == odd);
+        }
+        CHECK(platform::recordForPeers("no record") == "no record");
+    }
+}
+
 TEST_CASE("A record without customers asks nobody for a key")
 {
     const auto without = platform::readConfiguration(record);
--- a/Tests/Platform/TestConfigurationTask.cpp
+++ b/Tests/Platform/TestConfigurationTask.cpp
@@ -61,13 +61,19 @@
     std::unique_ptr<Task> task = Registry<TaskPlugin>::find("configuration")->create(kernel);
     std::vector<Sent> sent;
     std::uint64_t version = 0;
+    std::uint64_t newerKnown = 0;  ///< As published to the other tasks; 0: never.
+    std::size_t changes = 0;       ///< Of the configuration in force.
     std::size_t checks = 0;        ///< Of the store.
     std::size_t repeatedReads = 0; ///< Of the store.
 
     Node()
     {
-        kernel.bus().subscribe<CatalogueChanged>(
-                [this](const CatalogueChanged &changed) { version = changed.catalogue->version; });
+        kernel.bus().subscribe<CatalogueChanged>([this](const CatalogueChanged &changed) {
+            version = changed.catalogue->version;
+            ++changes;
+        });
+        kernel.bus().subscribe<NewerConfigurationKnown>(
+                [this](const NewerConfigurationKnown &known) { newerKnown = known.version; });
         kernel.bus().subscribe<SendToPeer>([this](const SendToPeer &message) {
             sent.push_back({message.peer, decodeConfigurationFrame(*message.payload).value()});
         });
@@ -125,6 +131,15 @@
     node.readFromStore(7);
     REQUIRE(node.version == 7);
 
+    SUBCASE("tells the other tasks at once, but not of versions that it has")
+    {
+        node.receive(farPeer, {7, {}});
+        CHECK(node.newerKnown == 0);
+        node.receive(farPeer, {8, {}});
+        CHECK(node.newerKnown == 8);
+        CHECK(node.version == 7);
+    }
+
     SUBCASE("does not ask for it if the store sends it soon")
     {
         node.receive(farPeer, {8, {}});
@@ -282,6 +297,31 @@
     Node node;
     node.readFromStore(7);
 
+    SUBCASE("that asks for it, without the text of a customer's key")
+    {
+        auto document = nlohmann::json::parse(recordOf(8));
+        document["tenants"] = {{{"name", "north"}, {"apiKeys", {"secret-key"}}}};
+        const std::string record = document.dump();
+        const auto write = [&] {
+            node.kernel.bus().post(StoreRead{StoreTopic::Configuration,
+                                             {StoreEntry{"config", record, 8}},
+                                             StoreReadKind::Whole});
+            node.runFor(Milliseconds(10));
+        };
+        write();
+        REQUIRE(node.version == 8);
+        node.sent.clear();
+        node.receive(farPeer, {0, {}});
+        REQUIRE(node.recordsTo(farPeer) == 1);
+        for (const auto &one : node.sent)
+            CHECK(one.frame.record.find("secret-key") == std::string::npos);
+
+        // The same record, read from the store again, is no replacement of the one in force.
+        const std::size_t before = node.changes;
+        write();
+        CHECK(node.changes == before);
+    }
+
     SUBCASE("that asks for it")
     {
         node.receive(farPeer, {0, {}});
