LibHttp: Take no cut response and no impossible status for an answer

Cause: a body without a length ended with any orderly close, also while the request was still being written, and http_parser takes any number for a status.

The tests showed on the code before: after a 200 without a length and a part of the body, an orderly close with 32 MB of the upload unread gave callers the part as a whole response (200), and so did an orderly close followed by a reset, on new and kept connections and through two nodes. A reset alone did not. The statuses 600, 999 and 0200 were responses. 000, 099 and 20 were skipped like interim ones, so that the request waited for another response; it ended in 502 once the connection failed. 1000 and abc were refused.

Change: a close ends a body only if the server has acknowledged the whole request and the connection has no error. A status has three digits from 100 to 599; any other ends the request (502, may have run) and its connection.

Ruled out: refusing every body without a length, which the platform's targets may send.

The new case of TestCutHead was not run on the code before.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -7,6 +7,8 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -174,6 +176,20 @@
         return std::ranges::find(failures, std::hash<std::string_view>()(echoed)) != failures.end();
     }
 
+    /// Whether the server has received the whole request, and the connection is not reset. A server
+    /// that closes before has not read all of the request, so its response was cut off.
+    [[nodiscard]] bool isRequestReceived() const
+    {
+        if (hasUnsentBytes())
+            return false;
+        const evutil_socket_t socket = bufferevent_getfd(handle);
+        int unacknowledged = 0;
+        int error = 0;
+        socklen_t errorSize = sizeof error;
+        return ioctl(socket, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0
+               && getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &errorSize) == 0 && error == 0;
+    }
+
     [[nodiscard]] bool hasUnsentBytes() const
     {
         return evbuffer_get_length(bufferevent_get_output(handle)) != 0;
@@ -377,8 +393,9 @@
         return;
     }
     Active &active = *connection.active;
-    // A reset cuts a body without a length; only an orderly close ends it.
-    if ((what & BEV_EVENT_EOF) != 0 && active.rules.bodyEnd == BodyEnd::FramedOrClose)
+    // A reset cuts a body without a length; only an orderly close ends it, after the whole request.
+    if ((what & BEV_EVENT_EOF) != 0 && active.rules.bodyEnd == BodyEnd::FramedOrClose
+        && connection.isRequestReceived())
         active.reader->finishAtClose();
     if (active.reader->state() == ResponseReader::State::Complete)
         handleResponse(active);
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -44,8 +44,10 @@
 
 /// Where the body of a response may end.
 enum class BodyEnd : std::uint8_t {
-    Framed,        ///< By its length or its last chunk only.
-    FramedOrClose, ///< Also by an orderly close of the connection, RFC 9112 section 6.3.
+    Framed, ///< By its length or its last chunk only.
+    /// Also by an orderly close of the connection, RFC 9112 section 6.3, once the server has
+    /// received the whole request.
+    FramedOrClose,
 };
 
 /// What a response must be to count as the answer to its request.
--- a/Libraries/LibHttp/ResponseReader.cpp
+++ b/Libraries/LibHttp/ResponseReader.cpp
@@ -4,19 +4,47 @@
 
 #include <http_parser.h>
 
+#include <cstdint>
 #include <utility>
 
 namespace chive {
 
 namespace {
 
+constexpr int firstStatus = 100;
 constexpr int firstFinalStatus = 200; ///< RFC 9110 section 15: 1xx are interim responses.
+constexpr int lastStatus = 599;
 constexpr std::size_t maximumHeaders = 1'000;
 /// Bytes of heads, interim responses and trailers. The parser limits each of them, not their sum.
 constexpr std::size_t maximumOverhead = 512 * 1024;
 /// A chunk of one byte has a framing of five.
 constexpr std::size_t maximumOverheadPerBodyByte = 8;
 
+/// Counts the characters of the status. http_parser takes any number of digits for one.
+class StatusLength
+{
+public:
+    void feed(std::string_view bytes)
+    {
+        for (std::size_t i = 0; i < bytes.size() && part_ != Part::Rest; ++i) {
+            const bool isEnd = bytes[i] == ' ' || bytes[i] == '\r' || bytes[i] == '\n';
+            if (part_ == Part::Version)
+                part_ = bytes[i] == ' ' ? Part::Status : Part::Version;
+            else if (!isEnd)
+                ++length_;
+            else if (length_ > 0 || bytes[i] != ' ')
+                part_ = Part::Rest;
+        }
+    }
+    [[nodiscard]] std::size_t length() const { return length_; }
+
+private:
+    enum class Part : std::uint8_t { Version, Status, Rest };
+
+    Part part_ = Part::Version;
+    std::size_t length_ = 0;
+};
+
 } // namespace
 
 struct ResponseReader::Parser
@@ -30,6 +58,7 @@
     std::size_t maximumBodySize = 0;
     std::size_t bytesTaken = 0; ///< With those of interim responses.
     std::size_t headBytes = 0;  ///< Of the names and values in the response.
+    StatusLength statusLength;
     HttpResponse response;
     BodyBuffer body;
 
@@ -39,6 +68,7 @@
     {
         http_parser_init(&machine, HTTP_RESPONSE);
         machine.data = this;
+        statusLength = {};
         response = {};
         headBytes = 0;
         body.clear();
@@ -46,6 +76,14 @@
         isHeadRead = false;
     }
 
+    /// Whether the status is one of RFC 9110 section 15, in its three digits.
+    [[nodiscard]] bool hasStatus() const
+    {
+        constexpr std::size_t digits = 3;
+        return statusLength.length() == digits && machine.status_code >= firstStatus
+               && machine.status_code <= lastStatus;
+    }
+
     [[nodiscard]] bool hasTooMuchOverhead() const
     {
         return bytesTaken - body.size()
@@ -82,8 +120,11 @@
     static int onHeadersComplete(http_parser *machine)
     {
         constexpr int skipBody = 1;
+        constexpr int failure = -1;
         Parser &self = of(machine);
         self.isHeadRead = true;
+        if (!self.hasStatus())
+            return failure;
         return self.isHead ? skipBody : 0;
     }
 
@@ -130,6 +171,7 @@
     while (taken < bytes.size()
            && (parser.state == State::Empty || parser.state == State::Reading)) {
         parser.state = State::Reading;
+        parser.statusLength.feed(bytes.substr(taken));
         const std::size_t size = http_parser_execute(&parser.machine, &parser.callbacks,
                                                      bytes.data() + taken, bytes.size() - taken);
         taken += size;
--- a/Tests/Integration/TestCutHead.cpp
+++ b/Tests/Integration/TestCutHead.cpp
@@ -173,6 +173,42 @@
     }
 }
 
+TEST_CASE("A response without a status from 100 to 599 is no answer on the caller's connection")
+{
+    Mesh mesh;
+    mesh.startLog();
+    mesh.publish("first", "", releaseNote("first", {"vault"}));
+    RunningMember &entry = addEntry(mesh);
+    const CuttingMember vault = addCutting(mesh, "vault", "vault");
+    REQUIRE(mesh.waitUntilAnswered(vault.member, "/vault/read/ready"));
+    REQUIRE(mesh.waitUntilAnswered(entry, "/vault/read/ready"));
+
+    const auto check = [&](const Endpoint &server) {
+        for (const std::string status : {"000", "099", "1000", "abc", "600", "0200"}) {
+            // The second request follows an answer, so that its connection to the target is kept.
+            for (const std::string use : {"first", "second"}) {
+                const std::string path = "/write/" + use + "?status=" + status;
+                const RawResponse response = callRaw(server, "POST", "/vault" + path);
+                CAPTURE(path);
+                CAPTURE(response.bytes);
+                CHECK(response.status() == 502);
+                CHECK(response.isFramedWhole());
+                CHECK(response.header("Chive-Execution") == "may-have-run");
+                CHECK(runsOf(mesh, path) == 1);
+                CHECK(mesh.waitUntilAnswered(vault.member, "/vault/read/ready"));
+            }
+        }
+    };
+    SUBCASE("at the node beside the target")
+    {
+        check(vault.member.callers);
+    }
+    SUBCASE("over a link from another node")
+    {
+        check(entry.callers);
+    }
+}
+
 TEST_CASE("After a response that was cut in its head, another target answers idempotent requests "
           "only")
 {
--- a/Tests/LibHttp/TestResponseReader.cpp
+++ b/Tests/LibHttp/TestResponseReader.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <string>
 #include <string_view>
 
@@ -93,3 +94,33 @@
     }
     CHECK(reader.state() == State::Malformed);
 }
+
+TEST_CASE("A status is three digits from 100 to 599, wherever the response is cut")
+{
+    const auto stateAfter = [](const std::string &status, std::size_t cut) {
+        const std::string bytes = "HTTP/1.1 " + status + " X\r\nContent-Length: 4\r\n\r\nbody";
+        ResponseReader reader("GET", bodyLimit);
+        reader.feed(std::string_view(bytes).substr(0, cut));
+        reader.feed(std::string_view(bytes).substr(std::min(cut, bytes.size())));
+        return reader.state();
+    };
+    for (std::size_t cut = 0; cut < 60; ++cut) {
+        CAPTURE(cut);
+        for (const std::string status : {"000", "099", "1000", "0200", "20", "2", "", "abc", "2xx",
+                                         "600", "999", "-200", "+200"}) {
+            CAPTURE(status);
+            CHECK(stateAfter(status, cut) == State::Malformed);
+        }
+        for (const std::string status : {"200", "404", "599"}) {
+            CAPTURE(status);
+            CHECK(stateAfter(status, cut) == State::Complete);
+        }
+    }
+}
+
+TEST_CASE("The status of a response after an interim one is checked as well")
+{
+    ResponseReader reader("POST", bodyLimit);
+    reader.feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 0200 OK\r\nContent-Length: 0\r\n\r\n");
+    CHECK(reader.state() == State::Malformed);
+}
--- a/Utilities/StandIns/CuttingTarget.cpp
+++ b/Utilities/StandIns/CuttingTarget.cpp
@@ -67,9 +67,20 @@
     return {"", "no response "};
 }
 
-std::string wireFormat(const std::string &call, const std::string &body)
+/// The status that the query of the request asks for, which may be none of HTTP's.
+std::string statusFor(const std::string &path)
 {
-    return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nChive-Call: " + call
+    constexpr std::string_view name = "status=";
+    const std::size_t start = path.find(name);
+    if (start == std::string::npos)
+        return std::to_string(okStatus);
+    const std::string rest = path.substr(start + name.size());
+    return rest.substr(0, rest.find('&'));
+}
+
+std::string wireFormat(const std::string &status, const std::string &call, const std::string &body)
+{
+    return "HTTP/1.1 " + status + " OK\r\nContent-Type: application/json\r\nChive-Call: " + call
            + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
@@ -165,7 +176,7 @@
     record.path = request.substr(start, request.find(' ', start) - start);
     const std::string path = record.path;
     const nlohmann::json body = {{"service", options_.service}, {"path", path}};
-    const std::string response = wireFormat(record.call, body.dump());
+    const std::string response = wireFormat(statusFor(path), record.call, body.dump());
     // The crash detector's checks are no runs.
     if (path != "/health")
         executions_.finish(executions_.begin(std::move(record)), RunEnd::Answered, okStatus);
--- a/Utilities/StandIns/CuttingTarget.h
+++ b/Utilities/StandIns/CuttingTarget.h
@@ -22,7 +22,8 @@
 /// the head without that many of its last bytes. The query's `by` says what follows: `close`,
 /// `reset`, or `silence`, which leaves the connection open. A request whose query names `endless`
 /// gets `chunks` of a body, lines of a `head` or bytes that are no `response` until the caller
-/// closes. Other requests are answered. Requests must have no body.
+/// closes. A request whose query names `status` gets a whole response with that text for a status.
+/// Other requests are answered. Requests must have no body.
 class CuttingTarget
 {
 public:
