--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -1,4 +1,5 @@
 #include <LibCore/Identifier.h>
+#include <LibCustomers/BearerKey.h>
 #include <LibCustomers/CustomerCredits.h>
 #include <LibHttp/HttpServer.h>
 #include <LibKernel/Kernel.h>
@@ -81,7 +82,7 @@
         server_ = std::move(server.value());
         server_->countIn(kernel_.descriptors().callers);
         server_->setMaximumPipelined(maximumPipelined);
-        applyTimeouts();
+        applyToServer();
     }
 
 private:
@@ -98,7 +99,7 @@
         catalogue_ = std::move(catalogue);
         callerKeys_.table = buildCustomerKeys(*catalogue_, callerKeys_.table);
         callerKeys_.isNewerVersionKnown = newestVersionKnown_ > catalogue_->version;
-        applyTimeouts();
+        applyToServer();
     }
 
     /// Whether a request without a key is one that the local target makes. A call whose parent has
@@ -110,12 +111,15 @@
                && (runningCalls_.contains(parent) || meshPressure_->nestedKinds.contains(kind));
     }
 
-    void applyTimeouts()
+    void applyToServer()
     {
         if (server_ == nullptr)
             return;
         server_->setIdleTimeout(catalogue_->idleTimeout);
         server_->setHeadTimeout(catalogue_->headTimeout);
+        // Malformed keys are refused as such, and never passed on.
+        server_->allowControlBytesIn(catalogue_->customers.empty() ? std::string_view()
+                                                                   : keyHeader);
     }
 
     void handleRequest(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange)
