HttpClient: Keep connections on which many requests failed

A connection was closed after 256 responses with a status from 400 on, because it remembers which requests failed. Responses with a length and without `Connection: close` were found to keep it otherwise. Now the oldest failure is forgotten. A late second response to it would have come between the responses since, and still closes the connection. A request that failed lately still goes over another connection.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -13,6 +13,7 @@
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <deque>
 #include <functional>
 #include <system_error>
 #include <utility>
@@ -31,7 +32,8 @@
 /// crosses the server's close.
 constexpr Milliseconds idleMargin{1'500};
 
-/// A connection is closed after so many failures, which bounds what it remembers of them.
+/// A connection remembers so many of the latest failures. A second response to an earlier one would
+/// have come between the responses since then, and closed the connection.
 constexpr std::size_t maximumFailures = 256;
 /// Responses to other requests that may come ahead of the one that is due.
 constexpr std::size_t maximumSkipped = 16;
@@ -105,7 +107,8 @@
     bool hasAnswered = false;  ///< A response has come on it before.
     Milliseconds idleFor{0};
     Milliseconds idleLimit{0};
-    std::vector<std::size_t> failures; ///< Hashes of the echoed values of requests that failed.
+    /// Hashes of the echoed values of the latest requests that failed, the oldest first.
+    std::deque<std::size_t> failures;
 
     explicit Connection(HttpClient &owner)
         : client(owner)
@@ -164,6 +167,8 @@
 
     void noteFailure(std::string_view echoed)
     {
+        if (failures.size() == maximumFailures)
+            failures.pop_front();
         failures.push_back(std::hash<std::string_view>()(echoed));
     }
 
@@ -359,7 +364,6 @@
     if (isTied && isFailure(response.status))
         connection.noteFailure(echoed);
     const bool isReusable = (isTied || isTrusted) && active.skipped == 0 && isQuiet
-                            && connection.failures.size() < maximumFailures
                             && active.reader->keepsConnection();
     finish(active, std::move(response), isReusable);
 }
--- a/Tests/LibHttp/TestClientConnections.cpp
+++ b/Tests/LibHttp/TestClientConnections.cpp
@@ -209,3 +209,28 @@
         CHECK(share.refused() == 1);
     }
 }
+
+// Targets that reject half of their calls had each connection closed after 256 rejections.
+TEST_CASE("Rejected requests keep their connection")
+{
+    constexpr int requests = 600;
+    Pair pair;
+    int opened = 0;
+    for (int i = 0; i < requests; ++i) {
+        Pair::Results results;
+        pair.send("/fail", "request-" + std::to_string(i), results);
+        pair.waitFor(results, 1);
+        REQUIRE(results.front().second.has_value());
+        CHECK(results.front().second.value().status == failure);
+        opened += bytesOf(results.front().second.value().body) == "new" ? 1 : 0;
+    }
+    CHECK(opened == 1);
+
+    SUBCASE("but the one that was just rejected goes over another one")
+    {
+        Pair::Results results;
+        pair.send("/", "request-599", results);
+        pair.waitFor(results, 1);
+        CHECK(bytesOf(results.front().second.value().body) == "new");
+    }
+}
