LibPolicy: Admit the trees that the retries can complete

Retries spread over all call trees complete few of them while a service rejects calls. Targets' nodes now report calls and rejections by the kind of the root, and collectors limit the roots of kinds with several calls there to what the tokens of all nodes can complete, the most important first. A call that lacks a token waits for one up to its deadline while the roots are limited, and the refused roots come back within a third of the time that they have left. A report grows by up to 20 bytes for a kind of root, once a second, and in every report while calls are rejected and for 2 s after that; not at all without a bound on retries. A summary grows only during rejections.

--- a/Libraries/LibNode/MeshPressure.h
+++ b/Libraries/LibNode/MeshPressure.h
@@ -21,6 +21,11 @@
     std::set<std::string, std::less<>> nestedKinds; ///< Kinds that only targets send.
     /// The share of callers' requests to admit, for each kind where it is below 1.
     std::map<std::string, double, std::less<>> rootShares;
+    /// The share of calls that targets reject, for each service where it is noticeable.
+    std::map<std::string, double, std::less<>> rejectedShares;
+    /// The share of callers' requests of which the retries can complete the call trees, for each
+    /// kind that is limited by rejections. Included in `rootShares`.
+    std::map<std::string, double, std::less<>> treeShares;
 };
 
 } // namespace chive
--- a/Libraries/LibNode/Messages.h
+++ b/Libraries/LibNode/Messages.h
@@ -249,6 +249,16 @@
 
 // Load.
 
+/// Calls that reached a target.
+struct CallCount
+{
+    double calls = 0.0;    ///< In the last interval.
+    double rejected = 0.0; ///< Those of them that the target rejected.
+    double earlier = 0.0;  ///< In the intervals before it that were not reported, none rejected.
+
+    bool operator==(const CallCount &) const = default;
+};
+
 /// From the target task, several times a second: the load of the local target.
 struct TargetPressure
 {
@@ -257,6 +267,8 @@
     double slots = 0.0;                 ///< Calls that may run at once.
     double waitSeconds = 0.0;           ///< Time that a call waits for a slot.
     std::map<std::string, double> work; ///< Slot seconds since the last message, by Call::rootKind.
+    /// Since the last message, by Call::rootKind; empty if no bound on retries is set.
+    std::map<std::string, CallCount, std::less<>> calls;
 };
 
 /// From the entry task, for each request of a caller: whether it was admitted.
--- a/Libraries/LibPolicy/Collectors.cpp
+++ b/Libraries/LibPolicy/Collectors.cpp
@@ -61,7 +61,8 @@
     const bool isAllAdmitted = std::ranges::all_of(
             mesh.rootShares, [](const auto &share) { return share.second >= 1.0; });
     const bool hasShortInterval = reportIntervalFor(members) == shortestReportInterval;
-    if (mesh.services.empty() || !hasRoom || !isAllAdmitted || !hasShortInterval)
+    if (mesh.services.empty() || !hasRoom || !isAllAdmitted || !mesh.rejectedShares.empty()
+        || !hasShortInterval)
         return {};
     return {calmReportPeriod, calmSummaryPeriod};
 }
--- a/Libraries/LibPolicy/MeshReport.cpp
+++ b/Libraries/LibPolicy/MeshReport.cpp
@@ -14,6 +14,22 @@
 
 using nlohmann::json;
 
+/// Elements that are present only where there is something to say.
+constexpr std::size_t callsIndex = 8;      ///< Of a report.
+constexpr std::size_t rejectionsIndex = 5; ///< Of a summary.
+
+/// Whole numbers take fewer bytes than fractions.
+json encodeCalls(const CallsByKind &calls)
+{
+    json encoded = json::object();
+    for (const auto &[kind, count] : calls) {
+        encoded[kind] = json::array({static_cast<std::uint64_t>(count.calls),
+                                     static_cast<std::uint64_t>(count.rejected),
+                                     static_cast<std::uint64_t>(count.earlier)});
+    }
+    return encoded;
+}
+
 json encodeRoots(const MeshReport &report)
 {
     json roots = json::object();
@@ -57,6 +73,11 @@
         report.roots.emplace(kind, readRoot(count));
     for (const auto &[kind, seconds] : parts.at(7).items())
         report.work.emplace(kind, readAmount(seconds));
+    if (parts.size() > callsIndex) {
+        for (const auto &[kind, count] : parts.at(callsIndex).items())
+            report.calls.emplace(kind, CallCount{readAmount(count.at(0)), readAmount(count.at(1)),
+                                                 readAmount(count.at(2))});
+    }
     return report;
 }
 
@@ -74,6 +95,13 @@
     summary.mesh.nestedKinds = parts.at(3).get<std::set<std::string, std::less<>>>();
     for (const auto &[kind, share] : parts.at(4).items())
         summary.mesh.rootShares.emplace(kind, readAmount(share));
+    if (parts.size() > rejectionsIndex) {
+        const json &rejections = parts.at(rejectionsIndex);
+        for (const auto &[service, share] : rejections.at(0).items())
+            summary.mesh.rejectedShares.emplace(service, readAmount(share));
+        for (const auto &[kind, share] : rejections.at(1).items())
+            summary.mesh.treeShares.emplace(kind, readAmount(share));
+    }
     return summary;
 }
 
@@ -92,12 +120,14 @@
 
 std::string encodeReport(const MeshReport &report)
 {
+    json parts = json::array({report.nodeId, report.target.service, report.target.pressure,
+                              report.target.capacity.slots, report.target.capacity.wait,
+                              json(report.target.enteredKinds), encodeRoots(report),
+                              json(report.work)});
+    if (!report.calls.empty())
+        parts.push_back(encodeCalls(report.calls));
     std::string bytes;
-    json::to_cbor(
-            json::array({report.nodeId, report.target.service, report.target.pressure,
-                         report.target.capacity.slots, report.target.capacity.wait,
-                         json(report.target.enteredKinds), encodeRoots(report), json(report.work)}),
-            bytes);
+    json::to_cbor(parts, bytes);
     return bytes;
 }
 
@@ -112,10 +142,13 @@
     for (const auto &[name, pressure] : summary.mesh.services) {
         services[name] = json::array({pressure.own, pressure.below, json(pressure.servicesBelow)});
     }
+    json parts = json::array({summary.collector, summary.reports, services,
+                              json(summary.mesh.nestedKinds), json(summary.mesh.rootShares)});
+    if (!summary.mesh.rejectedShares.empty())
+        parts.push_back(
+                json::array({json(summary.mesh.rejectedShares), json(summary.mesh.treeShares)}));
     std::string bytes;
-    json::to_cbor(json::array({summary.collector, summary.reports, services,
-                               json(summary.mesh.nestedKinds), json(summary.mesh.rootShares)}),
-                  bytes);
+    json::to_cbor(parts, bytes);
     return bytes;
 }
 
--- a/Libraries/LibPolicy/MeshReport.h
+++ b/Libraries/LibPolicy/MeshReport.h
@@ -3,6 +3,7 @@
 #include <LibCore/Result.h>
 #include <LibPolicy/RootAdmission.h>
 #include <LibPolicy/ServicePressure.h>
+#include <LibPolicy/TreeBudget.h>
 
 #include <cstddef>
 #include <map>
@@ -19,6 +20,7 @@
     std::map<std::string, RootCount, std::less<>> roots; ///< By kind, since the last report.
     /// Work of the target since the last report.
     WorkByKind work;
+    CallsByKind calls; ///< Calls of the target; only when they are due, see takeCalls().
 };
 
 /// The summary that a collector sends to all nodes.
--- a/Libraries/LibPolicy/RootAdmission.cpp
+++ b/Libraries/LibPolicy/RootAdmission.cpp
@@ -47,18 +47,6 @@
 /// For requests without an objective.
 constexpr Milliseconds defaultObjective{1'000};
 
-double decayedValue(const DecayingSum &sum, Seconds time, TimePoint now)
-{
-    const Seconds passed = now - sum.updated;
-    return sum.value * std::exp(-std::max(0.0, passed / time));
-}
-
-void add(DecayingSum &sum, double amount, Seconds time, TimePoint now)
-{
-    sum.value = decayedValue(sum, time, now) + amount;
-    sum.updated = now;
-}
-
 /// The demand of one kind, as used by the fitting.
 struct Demand
 {
--- a/Libraries/LibPolicy/RootAdmission.h
+++ b/Libraries/LibPolicy/RootAdmission.h
@@ -3,6 +3,7 @@
 #include <LibCatalogue/Catalogue.h>
 #include <LibCore/Clock.h>
 #include <LibNode/MeshPressure.h>
+#include <LibPolicy/DecayingSum.h>
 
 #include <cstddef>
 #include <map>
@@ -18,13 +19,6 @@
 /// demand oscillate.
 namespace chive {
 
-/// A sum that decays exponentially with a time constant.
-struct DecayingSum
-{
-    double value = 0.0;
-    TimePoint updated;
-};
-
 /// Requests of callers of one kind at one node since its last report.
 struct RootCount
 {
--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -5,6 +5,7 @@
 #include <LibNode/Dialect.h>
 #include <LibNode/Messages.h>
 #include <LibPolicy/RootAdmission.h>
+#include <LibPolicy/TreeBudget.h>
 #include <Node/CallMetrics.h>
 
 #include <glog/logging.h>
@@ -164,7 +165,10 @@
         std::uniform_real_distribution<double> draw(0.0, 1.0);
         Verdict verdict = notRun(Reason::Overloaded,
                                  "a service that this request depends on is overloaded");
-        verdict.retryAfter = retryAfterFor(share, call.objective, draw(random_));
+        const auto left = std::chrono::floor<Milliseconds>(call.deadline - kernel_.clock().now());
+        verdict.retryAfter = meshPressure_->treeShares.contains(call.kind)
+                                     ? retryAfterRejections(left, draw(random_))
+                                     : retryAfterFor(share, call.objective, draw(random_));
         return verdict;
     }
 
--- a/Services/Node/PressureTask.cpp
+++ b/Services/Node/PressureTask.cpp
@@ -5,11 +5,14 @@
 #include <LibPolicy/MeshReport.h>
 #include <LibPolicy/RootAdmission.h>
 #include <LibPolicy/ServicePressure.h>
+#include <LibPolicy/TreeBudget.h>
 
 #include <glog/logging.h>
+#include <nlohmann/json.hpp>
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
@@ -43,12 +46,28 @@
                              .Name("chiverouter_service_pressure")
                              .Help("Highest pressure among a service and all it leads to.")
                              .Register(kernel.metrics()))
+        , rejected_(prometheus::BuildGauge()
+                            .Name("chiverouter_rejected_share")
+                            .Help("Share of the calls that the targets of a service reject.")
+                            .Register(kernel.metrics()))
+        , treeShares_(prometheus::BuildGauge()
+                              .Name("chiverouter_tree_share")
+                              .Help("Share of callers' requests that rejections downstream allow.")
+                              .Register(kernel.metrics()))
     {
+        if (const auto &bound = kernel.settings().retryBound)
+            treeStatistics_.bound = {bound->ratio, bound->constant, bound->window};
+        kernel.addStatus("trees", [this] {
+            return nlohmann::json{{"rejected", mesh_->rejectedShares},
+                                  {"shares", mesh_->treeShares}};
+        });
         Bus &bus = kernel.bus();
         bus.subscribe<TargetPressure>([this](const TargetPressure &message) {
             latestTargetPressure_ = message;
             for (const auto &[kind, seconds] : message.work)
                 work_[kind] += seconds;
+            for (const auto &[kind, count] : message.calls)
+                noteCalls(calls_, kind, count, kernel_.clock().now());
         });
         bus.subscribe<RootDecided>([this](const RootDecided &decided) { count(decided); });
         bus.subscribe<RootEnded>([this](const RootEnded &ended) { count(ended); });
@@ -136,7 +155,11 @@
             return now - entry.second.at > enteredKindLifetime;
         });
         smoothedPressure_ += smoothingFactor * (latestTargetPressure_.pressure - smoothedPressure_);
-        const ReportPeriods periods = reportPeriodsFor(*mesh_, smoothedPressure_, members_->size());
+        ReportPeriods periods = reportPeriodsFor(*mesh_, smoothedPressure_, members_->size());
+        if (hasRejections(calls_.calls))
+            periods.report = 1;
+        if (std::exchange(hasReportedRejections_, false))
+            periods.summary = 1;
         if (++intervalsSinceReport_ >= periods.report && isReportDue()) {
             intervalsSinceReport_ = 0;
             sendReport(now);
@@ -173,6 +196,7 @@
             own.target.enteredKinds.emplace(kind, entry.service);
         own.roots = takeRootCounts();
         own.work = std::exchange(work_, {});
+        own.calls = takeCalls(calls_, now);
         const auto payload = makeBody(encodeReport(own));
         for (const Member &collector : collectorsOf(*members_)) {
             if (collector.nodeId == own.nodeId)
@@ -211,8 +235,12 @@
     {
         for (const auto &[kind, count] : report.roots)
             noteRoots(rootStatistics_, report.nodeId, kind, count, now);
+        for (const auto &[kind, count] : report.roots)
+            noteTreeRoots(treeStatistics_, kind, count, now);
         if (report.target.service.empty())
             return;
+        noteTreeCalls(treeStatistics_, report.target.service, report.calls, now);
+        hasReportedRejections_ = hasReportedRejections_ || hasRejections(report.calls);
         noteWork(rootStatistics_, report.target.service, report.work, now);
         noteReport(pressureTable_, report.nodeId, std::move(report.target), now);
     }
@@ -224,6 +252,7 @@
                             summarize(pressureTable_, now)};
         summary.mesh.rootShares = admittedShares(rootStatistics_, capacitiesIn(pressureTable_, now),
                                                  summary.mesh.services, now);
+        limitTrees(summary.mesh, now);
         const auto payload = makeBody(encodeSummary(summary));
         for (const Member &member : *members_) {
             if (member.nodeId != summary.collector && member.state != MemberState::Dead)
@@ -233,6 +262,29 @@
         storeSummary(std::move(summary));
     }
 
+    void limitTrees(MeshPressure &mesh, TimePoint now)
+    {
+        TreeLimits limits = treeLimits(treeStatistics_, now);
+        for (const auto &[kind, share] : limits.treeShares) {
+            const auto [found, isNew] = mesh.rootShares.try_emplace(kind, share);
+            found->second = std::min(found->second, share);
+        }
+        mesh.rejectedShares = std::move(limits.rejectedShares);
+        mesh.treeShares = std::move(limits.treeShares);
+    }
+
+    /// Sets the gauges of the rejections, also those that have ended.
+    static void publishShares(prometheus::Family<prometheus::Gauge> &gauges, const char *label,
+                              const std::map<std::string, double, std::less<>> &before,
+                              const std::map<std::string, double, std::less<>> &shares,
+                              double otherwise)
+    {
+        for (const auto &[name, share] : before)
+            gauges.Add({{label, name}}).Set(otherwise);
+        for (const auto &[name, share] : shares)
+            gauges.Add({{label, name}}).Set(share);
+    }
+
     void storeSummary(MeshSummary summary)
     {
         const std::string collector = summary.collector;
@@ -254,6 +306,8 @@
         const auto mesh = chosen ? meshes[*chosen] : std::make_shared<const MeshPressure>();
         for (const auto &[service, pressure] : mesh->services)
             pressures_.Add({{"service", service}}).Set(pressure.below);
+        publishShares(rejected_, "service", mesh_->rejectedShares, mesh->rejectedShares, 0.0);
+        publishShares(treeShares_, "kind", mesh_->treeShares, mesh->treeShares, 1.0);
         mesh_ = mesh;
         kernel_.bus().post(PressureChanged{mesh});
     }
@@ -261,6 +315,8 @@
     Kernel &kernel_;
     std::shared_ptr<const std::vector<Member>> members_;
     prometheus::Family<prometheus::Gauge> &pressures_;
+    prometheus::Family<prometheus::Gauge> &rejected_;   ///< By service.
+    prometheus::Family<prometheus::Gauge> &treeShares_; ///< By kind.
     TargetPressure latestTargetPressure_;
     double smoothedPressure_ = 0.0;
     int skippedReports_ = 0;
@@ -270,9 +326,12 @@
     std::map<std::string, EnteredKind> enteredKinds_;          ///< By kind.
     std::map<std::string, RootCount, std::less<>> rootCounts_; ///< Since the last report, by kind.
     WorkByKind work_;                                          ///< Since the last report.
-    PressureTable pressureTable_;                              ///< Used on collectors only.
-    RootStatistics rootStatistics_;                            ///< Used on collectors only.
-    std::map<std::string, ReceivedSummary> summaries_;         ///< By collector.
+    CallCounter calls_;
+    bool hasReportedRejections_ = false; ///< Since the last interval; on collectors only.
+    TreeStatistics treeStatistics_;      ///< Used on collectors only.
+    PressureTable pressureTable_;        ///< Used on collectors only.
+    RootStatistics rootStatistics_;      ///< Used on collectors only.
+    std::map<std::string, ReceivedSummary> summaries_; ///< By collector.
     Timer timer_;
 };
 
--- a/Services/Node/RouterTask.cpp
+++ b/Services/Node/RouterTask.cpp
@@ -252,6 +252,10 @@
         case TargetChooser::RetryPlan::RejectingTargets:
             retryRejectingTargets(token, otherwise);
             return;
+        case TargetChooser::RetryPlan::AwaitToken:
+            routed.retryTimer = kernel_.loop().after(
+                    rejectedRetryDelay, [this, token, outcome] { retryOrFinish(token, outcome); });
+            return;
         }
     }
 
--- a/Services/Node/TargetChooser.cpp
+++ b/Services/Node/TargetChooser.cpp
@@ -12,7 +12,9 @@
 constexpr std::size_t maximumAttempts = 4;
 /// Attempts for one call that targets reject without running it. Giving it up would waste what has
 /// run above it in its tree.
-constexpr std::size_t maximumRejectedAttempts = 8;
+constexpr std::size_t maximumRejectedAttempts = 12;
+/// A call that has less time left does not wait for a token to be sent again.
+constexpr Milliseconds minimumTimeForRetry{40};
 /// Estimated number of nested calls that a repeated call repeats towards each downstream service.
 constexpr double repeatedCallsPerService = 5.0;
 
@@ -86,6 +88,7 @@
     ServiceState &service = stateOf(call.service);
     if (retryLimits_)
         service.budget.limits = *retryLimits_;
+    service.budget.isShifted = meshPressure_->rejectedShares.contains(call.service);
     if (attempts.count == 0)
         noteFirstAttempt(service.budget, now);
     const auto members = usableMembersOf(call.service, attempts.excluded);
@@ -146,6 +149,8 @@
              && takeRetryAt(std::move(rejecting), RetryPlan::RejectingTargets, call, outcome, left,
                             now))
         plan = RetryPlan::RejectingTargets;
+    else if (isRejected && mayAwaitToken(call, now))
+        return RetryPlan::AwaitToken;
     if (plan != RetryPlan::None) {
         for (RetryBudget *budget : nested)
             takeTokens(*budget, repeatedCallsPerService);
@@ -153,6 +158,13 @@
     return plan;
 }
 
+bool TargetChooser::mayAwaitToken(const Call &call, TimePoint now)
+{
+    return call.isNested && meshPressure_->rejectedShares.contains(call.service)
+           && now + minimumTimeForRetry < call.deadline
+           && lacksTokens(call, stateOf(call.service).budget, now);
+}
+
 bool TargetChooser::takeRetryAt(std::vector<const Member *> targets, RetryPlan plan,
                                 const Call &call, const CallOutcome &outcome, Allowance &left,
                                 TimePoint now)
--- a/Services/Node/TargetChooser.h
+++ b/Services/Node/TargetChooser.h
@@ -70,6 +70,7 @@
         None,
         OtherTarget,
         RejectingTargets, ///< Those that have rejected the call, after a pause.
+        AwaitToken,       ///< To ask again after a pause, as there is no token for the retry now.
     };
 
     /// Whether and where to retry. A retry is taken from the service's budget and, at another
@@ -98,6 +99,10 @@
                                    const Call &call, const CallOutcome &outcome, Allowance &left,
                                    TimePoint now);
 
+    /// Whether a call that targets rejected waits for a token, so that its tree is completed. Only
+    /// where the roots are limited, since otherwise the tokens do not suffice for those that wait.
+    [[nodiscard]] bool mayAwaitToken(const Call &call, TimePoint now);
+
     /// The budgets of the downstream services, which a repeated call also draws on. Empty if no
     /// retry bound is set.
     [[nodiscard]] std::vector<RetryBudget *> downstreamBudgets(const Call &call);
--- a/Services/Node/TargetTask.cpp
+++ b/Services/Node/TargetTask.cpp
@@ -4,6 +4,7 @@
 #include <LibNode/Dialect.h>
 #include <LibNode/Messages.h>
 #include <LibPolicy/Admission.h>
+#include <LibPolicy/Retry.h>
 #include <Node/CallContexts.h>
 #include <Node/CrashDetector.h>
 #include <Node/LocalTarget.h>
@@ -338,7 +339,7 @@
         work_.erase(found);
         releaseAdmission(token, work, result);
         if (work.startedAt != TimePoint{})
-            noteRunEnded(work);
+            noteRunEnded(work, result);
         noteDecision(*work.call, result, work.startedAt);
         if (work.isGranted)
             kernel_.bus().post(GrantedCallEnded{token, result});
@@ -349,8 +350,13 @@
         startQueued();
     }
 
-    void noteRunEnded(const Work &work)
+    void noteRunEnded(const Work &work, const Judged<Answer> &result)
     {
+        if (kernel_.settings().retryBound) {
+            CallCount &count = callsByRootKind_[work.call->rootKind];
+            count.calls += 1.0;
+            count.rejected += isRejectedByTarget(result) ? 1.0 : 0.0;
+        }
         const std::chrono::duration<double> ran = kernel_.clock().now() - work.startedAt;
         slotSecondsByRootKind_[work.call->rootKind] += ran.count();
         kernel_.bus().post(RunEnded{work.call->requestId});
@@ -418,7 +424,8 @@
         const std::chrono::duration<double> wait = queueWait(admissionState_);
         kernel_.bus().post(TargetPressure{isUsable ? target_.service() : std::string(),
                                           pressureOf(load), static_cast<double>(load.limit),
-                                          wait.count(), std::exchange(slotSecondsByRootKind_, {})});
+                                          wait.count(), std::exchange(slotSecondsByRootKind_, {}),
+                                          std::exchange(callsByRootKind_, {})});
     }
 
     [[nodiscard]] nlohmann::json report() const
@@ -448,6 +455,7 @@
     AdmissionState admissionState_ = makeAdmissionState({});
     std::map<Token, Work> work_;
     std::map<std::string, double> slotSecondsByRootKind_; ///< Reported in TargetPressure::work.
+    std::map<std::string, CallCount, std::less<>> callsByRootKind_; ///< TargetPressure::calls.
     Timer queueTimer_;
     Timer pressureTimer_;
     bool isStopping_ = false;
