--- a/Tests/LibQuota/TestQuotaBound.cpp
+++ b/Tests/LibQuota/TestQuotaBound.cpp
@@ -1,4 +1,4 @@
-#include "QuotaSimulation.h"
+#include "QuotaWindows.h"
 
 #include <doctest/doctest.h>
 
@@ -10,33 +10,12 @@
 namespace {
 
 const std::string customer = "northwind";
-constexpr Milliseconds window{5'000};
 /// A configuration is in force everywhere after this time, and tokens lent before have expired 0.4
 /// s later.
 constexpr Milliseconds longestApply{2'100};
-constexpr Milliseconds binding{2'500};
 /// Two nodes act as the allocator for at most this long.
 constexpr int longestSkew = 700;
 
-std::shared_ptr<const Catalogue> catalogueWith(double rate, std::uint64_t version)
-{
-    auto catalogue = std::make_shared<Catalogue>();
-    catalogue->version = version;
-    catalogue->customers[customer] = {customer, {}, std::nullopt, {rate, rate}};
-    return catalogue;
-}
-
-double allowedBy(double rate)
-{
-    return (rate * 5.0 + rate) * 1.1 + 20.0;
-}
-
-struct Limit
-{
-    double rate = 0.0;
-    TimePoint since;
-};
-
 /// The random faults of one run.
 class Faults
 {
@@ -48,7 +27,7 @@
         , limits_{{rate, simulation.now()}}
     {
         for (std::size_t i = 0; i < simulation.nodes(); ++i)
-            simulation.setCatalogue(i, catalogueWith(rate, 1));
+            simulation.setCatalogue(i, catalogueWith(customer, rate, 1));
     }
 
     void schedule(Milliseconds duration)
@@ -214,7 +193,7 @@
             return;
         limits_.push_back({limits_.back().rate * simulation_.draw(0.2, 3.0), simulation_.now()});
         limits_.back().rate = std::min(limits_.back().rate, 400.0);
-        const auto catalogue = catalogueWith(limits_.back().rate, limits_.size());
+        const auto catalogue = catalogueWith(customer, limits_.back().rate, limits_.size());
         for (std::size_t i = 0; i < simulation_.nodes(); ++i) {
             const int delay = random(0, static_cast<int>(longestApply.count()));
             simulation_.after(Milliseconds(delay),
@@ -275,38 +254,6 @@
     std::vector<std::size_t> places_;
 };
 
-/// Returns the limit for a window, the highest among those that may still apply in it.
-double allowedIn(const std::vector<Limit> &limits, TimePoint from)
-{
-    double allowed = 0.0;
-    for (std::size_t i = 0; i < limits.size(); ++i) {
-        const bool hasBegun = limits[i].since <= from + window;
-        const bool hasEnded = i + 1 < limits.size() && limits[i + 1].since + binding <= from;
-        if (hasBegun && !hasEnded)
-            allowed = std::max(allowed, allowedBy(limits[i].rate));
-    }
-    return allowed;
-}
-
-/// Returns the most uses in any window, relative to what is allowed in it.
-double worstWindow(const std::vector<QuotaSimulation::Use> &uses, const std::vector<Limit> &limits)
-{
-    std::vector<TimePoint> times;
-    for (const auto &use : uses) {
-        if (use.hasRun)
-            times.push_back(use.at);
-    }
-    double worst = 0.0;
-    std::size_t end = 0;
-    for (std::size_t begin = 0; begin < times.size(); ++begin) {
-        while (end < times.size() && times[end] <= times[begin] + window)
-            ++end;
-        const auto count = static_cast<double>(end - begin);
-        worst = std::max(worst, count / allowedIn(limits, times[begin]));
-    }
-    return worst;
-}
-
 double worstOfRun(std::uint64_t seed)
 {
     QuotaSimulation::Options options;
@@ -346,111 +293,3 @@
     MESSAGE(seeds << " seeds, the fullest window used " << worst << " of what is allowed");
     CHECK(over == 0);
 }
-
-namespace {
-
-/// A partition in which each node notices only that its allocator is out of reach, one after the
-/// other, and the other members not at all, until lists agree slowly after it has healed.
-class UnnoticedPartition
-{
-public:
-    explicit UnnoticedPartition(QuotaSimulation &simulation)
-        : simulation_(simulation)
-        , isCutOff_(simulation.nodes())
-        , views_(simulation.nodes())
-    {
-        for (std::size_t i = 0; i < simulation.nodes(); ++i) {
-            isCutOff_[i] = simulation.draw(0, 3) < 1;
-            views_[i].resize(simulation.nodes());
-            std::iota(views_[i].begin(), views_[i].end(), 0);
-        }
-    }
-
-    void begin(bool isOneWay)
-    {
-        setCuts(true, isOneWay);
-        for (std::size_t i = 0; i < simulation_.nodes(); ++i)
-            check(i);
-    }
-
-    void heal()
-    {
-        isHealed_ = true;
-        setCuts(false, false);
-        for (std::size_t i = 0; i < simulation_.nodes(); ++i) {
-            views_[i].resize(simulation_.nodes());
-            std::iota(views_[i].begin(), views_[i].end(), 0);
-            simulation_.after(Milliseconds(static_cast<int>(simulation_.draw(0, 4'000))),
-                              [this, i] { simulation_.setView(i, views_[i]); });
-        }
-    }
-
-private:
-    void setCuts(bool isCut, bool isOneWay)
-    {
-        for (std::size_t i = 0; i < simulation_.nodes(); ++i) {
-            for (std::size_t j = 0; j < simulation_.nodes(); ++j) {
-                if (!isCutOff_[i] || isCutOff_[j])
-                    continue;
-                simulation_.cut(i, j, isCut);
-                simulation_.cut(j, i, isCut && !isOneWay);
-            }
-        }
-    }
-
-    void check(std::size_t node)
-    {
-        const auto delay = Milliseconds(static_cast<int>(simulation_.draw(1'200, 1'900)));
-        simulation_.after(delay, [this, node] {
-            if (isHealed_)
-                return;
-            const std::size_t allocator = simulation_.allocatorFor(node, customer);
-            if (isCutOff_[allocator] != isCutOff_[node]) {
-                std::erase(views_[node], allocator);
-                simulation_.setView(node, views_[node]);
-            }
-            check(node);
-        });
-    }
-
-    QuotaSimulation &simulation_;
-    std::vector<bool> isCutOff_;
-    std::vector<std::vector<std::size_t>> views_;
-    bool isHealed_ = false;
-};
-
-} // namespace
-
-// Guards against two sides of a partition that refill at the whole rate each while their member
-// lists have not agreed yet, which takes many seconds with many nodes.
-TEST_CASE("The quota holds while a partition is noticed slowly")
-{
-    double worst = 0.0;
-    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
-        QuotaSimulation::Options options;
-        options.nodes = 12;
-        options.seed = seed;
-        QuotaSimulation simulation(options);
-        constexpr double rate = 100.0;
-        for (std::size_t i = 0; i < simulation.nodes(); ++i)
-            simulation.setCatalogue(i, catalogueWith(rate, 1));
-        std::function<void()> next = [&] {
-            simulation.after(Microseconds(static_cast<int>(simulation.draw(0, 5'000))), [&] {
-                simulation.request(simulation.random()() % simulation.nodes(), customer);
-                next();
-            });
-        };
-        next();
-        UnnoticedPartition partition(simulation);
-        simulation.run(std::chrono::seconds(5));
-        partition.begin(seed % 2 == 0);
-        simulation.run(std::chrono::seconds(15));
-        partition.heal();
-        simulation.run(std::chrono::seconds(10));
-        const double result = worstWindow(simulation.record(customer).uses,
-                                          {{rate, simulation.now() - std::chrono::hours(1)}});
-        worst = std::max(worst, result);
-        CHECK_MESSAGE(result <= 1.0, "seed " << seed);
-    }
-    MESSAGE("the fullest window used " << worst << " of what is allowed");
-}
--- a/Tests/LibQuota/TestTokenPool.cpp
+++ b/Tests/LibQuota/TestTokenPool.cpp
@@ -227,6 +227,19 @@
         CHECK(lone.aliveShare() == 1.0);
     }
 
+    SUBCASE("keeps to the part of the rate and of the bucket that its side of a partition has")
+    {
+        std::vector<Member> three(3, onlyMember());
+        three[1].links.port = 2;
+        three[2].links.port = 3;
+        allocator.setMembers(three, at(0));
+        allocator.setMembers(members, at(0));
+        runUntil(0, 10'000);
+        CHECK(lend(1, at(9'950)) == 0); // Contact is measured first.
+        CHECK(lend(500, at(10'000)) == 16);
+        CHECK(lend(500, at(10'300)) == 10);
+    }
+
     SUBCASE("is without a limit where its configuration has none, and needs a configuration")
     {
         runUntil(0, 1'000);
