LibPolicy: Add load balancing by expected work (least-work)

Requests that look alike cost very different amounts of work, and two-choices counts them. A node now learns the own time of each kind on its target and reports when a new call would start; choosers estimate the time to completion and the relative speed of each target. The default policy and its encoding are unchanged.

--- a/Libraries/LibNode/Call.h
+++ b/Libraries/LibNode/Call.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,17 @@
     Allowance allowance;       ///< Granted to this call; the unspent rest returns with the answer.
 };
 
+/// The work of a target, reported where targets are chosen by work.
+struct WorkReport
+{
+    std::uint32_t untilStart = 0; ///< Milliseconds until a new call would start.
+    /// Tenths of a millisecond that the target itself works, at its present speed, on a call of the
+    /// kind that is answered; without the wait for nested calls. 0: unknown.
+    std::uint32_t ownTime = 0;
+
+    bool operator==(const WorkReport &) const = default;
+};
+
 /// The load of a node's local target, sent to peers with every answer.
 struct TargetLoad
 {
@@ -54,6 +66,7 @@
     std::uint32_t queued = 0;                     ///< Requests that are queued in the node.
     std::uint32_t limit = 0;                      ///< The current concurrency limit.
     std::uint8_t admitted = importanceLevels - 1; ///< Lowest importance admitted now, as a number.
+    std::optional<WorkReport> work = {};          ///< Free slots are `limit` less `inFlight`.
 };
 
 /// The complete response of a target.
--- a/Libraries/LibNode/CallCodec.cpp
+++ b/Libraries/LibNode/CallCodec.cpp
@@ -145,13 +145,29 @@
 
 json encodeLoad(const TargetLoad &load)
 {
-    return json::array({load.inFlight, load.queued, load.limit, load.admitted});
+    json list = json::array({load.inFlight, load.queued, load.limit, load.admitted});
+    if (load.work) {
+        list.push_back(load.work->untilStart);
+        list.push_back(load.work->ownTime);
+    }
+    return list;
 }
 
 TargetLoad decodeLoad(const json &list)
 {
-    return {list.at(0).get<std::uint32_t>(), list.at(1).get<std::uint32_t>(),
-            list.at(2).get<std::uint32_t>(), list.at(3).get<std::uint8_t>()};
+    ArrayReader fields(list);
+    TargetLoad load;
+    load.inFlight = fields.next().get<std::uint32_t>();
+    load.queued = fields.next().get<std::uint32_t>();
+    load.limit = fields.next().get<std::uint32_t>();
+    load.admitted = fields.next().get<std::uint8_t>();
+    if (fields.isAtEnd())
+        return load;
+    WorkReport work;
+    work.untilStart = fields.next().get<std::uint32_t>();
+    work.ownTime = fields.next().get<std::uint32_t>();
+    load.work = work;
+    return load;
 }
 
 std::shared_ptr<const std::string> copyBody(std::string_view body)
--- a/Libraries/LibPolicy/Choice.cpp
+++ b/Libraries/LibPolicy/Choice.cpp
@@ -10,14 +10,6 @@
 constexpr double latencyGain = 0.1;
 constexpr double probedLatencyGain = 1.0; ///< A probe result replaces older samples.
 
-TargetView &viewOf(ChoiceState &state, std::string_view nodeId)
-{
-    const auto entry = state.targets.find(nodeId);
-    if (entry != state.targets.end())
-        return entry->second;
-    return state.targets.emplace(std::string(nodeId), TargetView{}).first->second;
-}
-
 void smoothLatency(TargetView &view, TimePoint sentAt, TimePoint now)
 {
     const double sample = std::chrono::duration<double, std::milli>(now - sentAt).count();
@@ -25,8 +17,24 @@
     view.latency = view.latency == 0.0 ? sample : view.latency + gain * (sample - view.latency);
 }
 
+void noteWork(ChoiceState &state, TargetView &view, const ObservedOutcome &end, TimePoint now)
+{
+    WorkSample sample{end.kind, *end.load, {}, view.pauseLength > Milliseconds(0)};
+    if (end.wasServed && end.duration == Duration::Short)
+        sample.latency = std::chrono::duration<double, std::milli>(now - end.sentAt).count();
+    learnWork(state.work, view.work, sample, now);
+}
+
 } // namespace
 
+TargetView &viewOf(ChoiceState &state, std::string_view nodeId)
+{
+    const auto entry = state.targets.find(nodeId);
+    if (entry != state.targets.end())
+        return entry->second;
+    return state.targets.emplace(std::string(nodeId), TargetView{}).first->second;
+}
+
 void noteSent(ChoiceState &state, std::string_view nodeId, Duration duration, TimePoint now)
 {
     TargetView &view = viewOf(state, nodeId);
@@ -51,6 +59,7 @@
     if (end.load) {
         view.load = *end.load;
         view.loadReceivedAt = now;
+        noteWork(state, view, end, now);
     }
     if (end.hasFailed)
         view.failedAt = now;
--- a/Libraries/LibPolicy/Choice.h
+++ b/Libraries/LibPolicy/Choice.h
@@ -4,6 +4,7 @@
 #include <LibCore/Clock.h>
 #include <LibKernel/Registry.h>
 #include <LibNode/Call.h>
+#include <LibPolicy/TargetSpeed.h>
 
 #include <cstdint>
 #include <map>
@@ -42,6 +43,7 @@
     Milliseconds pauseLength{0};     ///< Length of the exclusion; 0 while the target is in use.
     bool isProbing = false;          ///< A probe call is outstanding.
     std::int64_t selectionScore = 0; ///< For "request-counting".
+    TargetWorkView work;             ///< For "least-work".
 };
 
 /// The load balancing state of one service.
@@ -50,14 +52,21 @@
     std::map<std::string, TargetView, std::less<>> targets;
     std::minstd_rand random;
     std::uint64_t rotation = 0; ///< For "round-robin".
+    ServiceWork work;           ///< For "least-work".
+    /// For "least-work": milliseconds by which a target in another data centre must be better.
+    double otherDataCentreCost = 12.0;
 };
 
 struct ChoiceRequest
 {
     Importance importance = Importance::Normal;
     Duration duration = Duration::Short;
+    std::string_view kind = {};
 };
 
+/// The policy whose choosers need TargetLoad::work.
+constexpr std::string_view leastWorkName = "least-work";
+
 /// A load balancing policy.
 struct ChoicePlugin
 {
@@ -76,8 +85,12 @@
     bool wasServed = false; ///< The target answered, so the latency is a valid sample.
     bool hasFailed = false; ///< No answer arrived because the connection, link or target failed.
     std::optional<TargetLoad> load;
+    std::string_view kind = {};
 };
 
+/// The state of the target, which is created when it is first needed.
+[[nodiscard]] TargetView &viewOf(ChoiceState &state, std::string_view nodeId);
+
 /// Must be called when a call is sent to a target, and noteEnded() exactly once when it has ended
 /// in any way.
 void noteSent(ChoiceState &state, std::string_view nodeId, Duration duration, TimePoint now);
--- a/Services/Node/CallContexts.cpp
+++ b/Services/Node/CallContexts.cpp
@@ -24,7 +24,7 @@
 {
     std::string contextId = randomIdentifier();
     const Allowance remaining = call->allowance;
-    contexts_.emplace(contextId, Context{std::move(call), remaining, {}, false});
+    contexts_.emplace(contextId, Context{std::move(call), remaining, {}, false, 0, {}, {}});
     return contextId;
 }
 
@@ -83,4 +83,31 @@
         found->second.hasNestedFailure = true;
 }
 
+void CallContexts::beginWait(std::string_view contextId, TimePoint now)
+{
+    const auto found = measuresWaits_ ? contexts_.find(contextId) : contexts_.end();
+    if (found != contexts_.end() && found->second.nestedInFlight++ == 0)
+        found->second.waitingSince = now;
+}
+
+void CallContexts::endWait(std::string_view contextId, TimePoint now)
+{
+    const auto found = measuresWaits_ ? contexts_.find(contextId) : contexts_.end();
+    if (found == contexts_.end() || found->second.nestedInFlight == 0)
+        return;
+    if (--found->second.nestedInFlight == 0)
+        found->second.waited += now - found->second.waitingSince;
+}
+
+std::chrono::nanoseconds CallContexts::waitOf(std::string_view contextId, TimePoint now) const
+{
+    const auto found = contexts_.find(contextId);
+    if (found == contexts_.end())
+        return std::chrono::nanoseconds(0);
+    const Context &context = found->second;
+    return context.waited
+           + (context.nestedInFlight > 0 ? now - context.waitingSince
+                                         : std::chrono::nanoseconds(0));
+}
+
 } // namespace chive
--- a/Services/Node/CallContexts.h
+++ b/Services/Node/CallContexts.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <LibCore/Clock.h>
 #include <LibCore/Result.h>
 #include <LibNode/Call.h>
 #include <LibNode/Messages.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <set>
@@ -45,6 +47,17 @@
     void endNestedCall(std::string_view contextId, const Allowance &reserved,
                        const CallOutcome &outcome);
 
+    /// Measures from now on how long calls wait for their nested calls. Nothing is measured before.
+    void measureWaits() { measuresWaits_ = true; }
+
+    /// A nested call of the context is on its way, or has ended. Nested calls that overlap count
+    /// once.
+    void beginWait(std::string_view contextId, TimePoint now);
+    void endWait(std::string_view contextId, TimePoint now);
+
+    /// How long the call has waited for nested calls; zero for an unknown id.
+    [[nodiscard]] std::chrono::nanoseconds waitOf(std::string_view contextId, TimePoint now) const;
+
     /// The number of open contexts.
     [[nodiscard]] std::size_t size() const { return contexts_.size(); }
 
@@ -55,6 +68,9 @@
         Allowance remaining;
         std::set<std::string> nestedFingerprints;
         bool hasNestedFailure = false;
+        std::uint32_t nestedInFlight = 0;
+        TimePoint waitingSince; ///< While a nested call is in flight.
+        std::chrono::nanoseconds waited{0};
     };
 
     using Contexts = std::map<std::string, Context, std::less<>>;
@@ -63,6 +79,7 @@
     [[nodiscard]] Contexts::iterator findContextToCharge(std::string_view contextId);
 
     Contexts contexts_;
+    bool measuresWaits_ = false;
 };
 
 } // namespace chive
--- a/Services/Node/LocalTarget.cpp
+++ b/Services/Node/LocalTarget.cpp
@@ -253,6 +253,7 @@
     const Token token = nextToken();
     auto shared = std::make_shared<const Call>(std::move(nested));
     nestedCalls_.emplace(token, NestedCall{exchange, shared, std::move(contextId.value())});
+    contexts_.beginWait(nestedCalls_.at(token).contextId, kernel_.clock().now());
     exchange->onPeerGone([this, token] { kernel_.bus().post(CancelCall{token}); });
     kernel_.bus().post(RouteCall{token, std::move(shared)});
 }
@@ -265,6 +266,7 @@
     const NestedCall nested = std::move(found->second);
     nestedCalls_.erase(found);
     contexts_.endNestedCall(nested.contextId, nested.call->allowance, routed.outcome);
+    contexts_.endWait(nested.contextId, kernel_.clock().now());
     nested.exchange->respond(dialect_.responseFor(routed.outcome.result, nested.call->requestId));
 }
 
--- a/Services/Node/RouterTask.cpp
+++ b/Services/Node/RouterTask.cpp
@@ -89,7 +89,8 @@
         kernel.addStatus("router", [this] {
             return nlohmann::json{{"calls", routedCalls_.size()},
                                   {"attempts", attempts_.size()},
-                                  {"retry_budget", chooser_.retryBudgets()}};
+                                  {"retry_budget", chooser_.retryBudgets()},
+                                  {"placing", chooser_.placing(kernel_.clock().now())}};
         });
     }
 
--- a/Services/Node/TargetChooser.cpp
+++ b/Services/Node/TargetChooser.cpp
@@ -1,5 +1,9 @@
 #include <Node/TargetChooser.h>
 
+#include <Node/PlacingStatus.h>
+
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <optional>
 #include <utility>
@@ -90,7 +94,7 @@
         noteFirstAttempt(service.budget, now);
     const auto members = usableMembersOf(call.service, attempts.excluded);
     const auto index = plugin_.choose(service.choice, candidatesOf(members),
-                                      {call.importance, call.duration}, now);
+                                      {call.importance, call.duration, call.kind}, now);
     return index ? members.at(*index) : nullptr;
 }
 
@@ -107,6 +111,7 @@
             ended.sentAt, call.duration, result.has_value(), isTargetFailure(result), {}};
     if (ended.hasLoadReport)
         end.load = ended.outcome->load;
+    end.kind = call.kind;
     chive::noteEnded(service.choice, ended.nodeId, end, now);
     if (!isRefusedForOverload(result))
         noteAccepted(service.shed, call.importance, now);
@@ -199,6 +204,16 @@
     return budgets;
 }
 
+nlohmann::json TargetChooser::placing(TimePoint now) const
+{
+    nlohmann::json services = nlohmann::json::object();
+    if (plugin_.name != leastWorkName)
+        return services;
+    for (const auto &[service, state] : services_)
+        services[service] = placingOf(state.choice, now);
+    return services;
+}
+
 std::vector<const Member *> TargetChooser::usableMembersOf(const std::string &service,
                                                            const std::set<std::string> &tried) const
 {
--- a/Services/Node/TargetChooser.h
+++ b/Services/Node/TargetChooser.h
@@ -6,6 +6,8 @@
 #include <LibPolicy/EntryShed.h>
 #include <LibPolicy/Retry.h>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -81,6 +83,9 @@
     /// allowance of its call.
     [[nodiscard]] std::map<std::string, double> retryBudgets() const;
 
+    /// For each service what the policy "least-work" knows of its targets; empty with another one.
+    [[nodiscard]] nlohmann::json placing(TimePoint now) const;
+
 private:
     struct ServiceState
     {
--- a/Services/Node/TargetTask.cpp
+++ b/Services/Node/TargetTask.cpp
@@ -4,9 +4,11 @@
 #include <LibNode/Dialect.h>
 #include <LibNode/Messages.h>
 #include <LibPolicy/Admission.h>
+#include <LibPolicy/Choice.h>
 #include <Node/CallContexts.h>
 #include <Node/CrashDetector.h>
 #include <Node/LocalTarget.h>
+#include <Node/OwnWork.h>
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
@@ -39,6 +41,7 @@
         : kernel_(kernel)
         , dialect_(dialectOf(kernel.settings()))
         , admission_(Registry<AdmissionPlugin>::find(kernel.settings().admissionPolicy))
+        , ownWork_(kernel.settings().choicePolicy == leastWorkName, contexts_)
         , target_(kernel, contexts_, [this] { handleTargetChanged(); })
         , crashDetector_(kernel)
         , quarantined_(std::make_shared<const std::vector<std::string>>())
@@ -99,7 +102,8 @@
         if (!refusal)
             refusal = reasonToDefer(*message.call);
         if (refusal) {
-            postOutcome(message.token, *refusal, message.call->allowance, false);
+            postOutcome(message.token, message.call->kind, *refusal,
+                        {message.call->allowance, false});
             return;
         }
         Work work;
@@ -252,6 +256,7 @@
         const auto left = std::chrono::ceil<Milliseconds>(work.call->deadline - work.startedAt);
         const HttpRequest request = dialect_.requestForTarget(
                 *work.call, {work.contextId, target_.targetId()}, work.startedAt);
+        ownWork_.noteStarted(token, work.call, work.contextId, work.startedAt);
         crashDetector_.noteStarted(work.call->fingerprint);
         kernel_.bus().post(RunStarted{work.call});
         work.client = client;
@@ -345,7 +350,7 @@
         ClosedContext context{work.call->allowance, false};
         if (work.stage == Stage::Running || work.stage == Stage::ConnectionLost)
             context = contexts_.close(work.contextId);
-        postOutcome(token, std::move(result), context.unspent, context.hasNestedFailure);
+        postOutcome(token, work.call->kind, std::move(result), context);
         startQueued();
     }
 
@@ -376,6 +381,7 @@
     {
         if (work.stage != Stage::Running || !result.has_value()) {
             chive::cancel(admissionState_, token);
+            ownWork_.noteEnded(token, OwnWork::EndedRun::NotServed, kernel_.clock().now());
             return;
         }
         const TimePoint now = kernel_.clock().now();
@@ -387,17 +393,22 @@
         end.kind = work.call->kind;
         end.importance = work.call->importance;
         finished(admissionState_, token, end, now);
+        ownWork_.noteEnded(token,
+                           end.hasFailed ? OwnWork::EndedRun::NotServed : OwnWork::EndedRun::Served,
+                           now);
     }
 
-    void postOutcome(Token token, Judged<Answer> result, const Allowance &unspent,
-                     bool hasNestedFailure)
+    void postOutcome(Token token, std::string_view kind, Judged<Answer> result,
+                     const ClosedContext &context)
     {
         CallRan ran;
         ran.token = token;
         ran.outcome.result = std::move(result);
-        ran.outcome.unspent = unspent;
-        ran.outcome.failedBelow = hasNestedFailure;
-        ran.outcome.load = loadOf(admissionState_, kernel_.clock().now());
+        ran.outcome.unspent = context.unspent;
+        ran.outcome.failedBelow = context.hasNestedFailure;
+        const TimePoint now = kernel_.clock().now();
+        ran.outcome.load = loadOf(admissionState_, now);
+        ran.outcome.load.work = ownWork_.report(admissionState_, kind, now);
         kernel_.bus().post(std::move(ran));
     }
 
@@ -440,6 +451,7 @@
     const Dialect &dialect_;
     const AdmissionPlugin *admission_ = nullptr;
     CallContexts contexts_;
+    OwnWork ownWork_;
     LocalTarget target_;
     CrashDetector crashDetector_;
     std::shared_ptr<const std::vector<std::string>> quarantined_;
--- a/Tests/LibNode/TestCallCodec.cpp
+++ b/Tests/LibNode/TestCallCodec.cpp
@@ -85,6 +85,17 @@
         CHECK(copy.failedBelow);
     }
 
+    SUBCASE("a report of the work adds bytes only where there is one, and may be missing")
+    {
+        outcome.result = Answer{200, {}, {}};
+        const std::string without = encodeOutcome(5, outcome);
+        CHECK_FALSE(decodeOutcome(without).value().outcome.load.work.has_value());
+        outcome.load.work = WorkReport{12, 763};
+        const std::string with = encodeOutcome(5, outcome);
+        CHECK(with.size() <= without.size() + 5);
+        CHECK(decodeOutcome(with).value().outcome.load.work == outcome.load.work);
+    }
+
     SUBCASE("as a verdict")
     {
         Verdict verdict = mayHaveRun(Reason::TargetFailed, "gone");
