LibPolicy: Even out the load of targets of different speeds

Fast targets drew off up to 1.5 times the mean load at half load, since a free slot there always ends a call first. A charge in mean works, the same for all kinds, begins at 0.7 of the mean load; at most half of the targets are drawn; reported speeds that the latency contradicts are not believed.

--- a/Libraries/LibPolicy/LeastWork.cpp
+++ b/Libraries/LibPolicy/LeastWork.cpp
@@ -14,17 +14,19 @@
 
 namespace {
 
-/// Number of targets that are drawn in the own data centre, and in all others together.
+/// Largest number of targets that are drawn in the own data centre, and in all others together. It
+/// is at most half of the targets, because otherwise most choosers would draw the same one.
 constexpr int nearDraws = 5;
 constexpr int otherDraws = 2;
 constexpr double defaultLimit = 20.0;
 constexpr double defaultWork = 50.0; ///< Milliseconds.
 /// Load from which a call may have to wait, although a report shows a free slot.
 constexpr double crowdedLoad = 0.8;
-/// Load relative to the mean of the service from which a target is charged for it.
-constexpr double unevenLoad = 1.0;
-/// Charge for twice the mean load, in mean works of the service. The same for all kinds, so that
-/// the calls that gain most from a fast target get it.
+/// Load relative to the mean of the service from which a target is charged for it. It is below 1,
+/// so that fast targets cannot draw off the work of slow ones before these are charged.
+constexpr double unevenLoad = 0.7;
+/// Charge for a load that is higher by the mean, in mean works of the service. The same for all
+/// kinds, so that the calls that gain most from a fast target get it.
 constexpr double unevenCharge = 8.0;
 /// A target without a report of this age gets a single call with this probability, in shares of an
 /// equal distribution. All choosers find a new target at the same time, and together must not send
@@ -158,10 +160,16 @@
                         int draws, const Weighed *best)
 {
     double total = 0.0;
-    for (const Weighed &target : targets)
-        total += target.isNear == isNear ? target.weight : 0.0;
-    if (total <= 0.0)
+    int count = 0;
+    for (const Weighed &target : targets) {
+        if (target.isNear != isNear)
+            continue;
+        total += target.weight;
+        ++count;
+    }
+    if (count == 0)
         return best;
+    draws = std::min(draws, (count + 1) / 2);
     std::uniform_real_distribution<double> position(0.0, total);
     for (int draw = 0; draw < draws; ++draw) {
         double left = position(state.random);
--- a/Libraries/LibPolicy/TargetSpeed.cpp
+++ b/Libraries/LibPolicy/TargetSpeed.cpp
@@ -11,6 +11,11 @@
 constexpr double meanGain = 0.02;
 constexpr double loadGain = 0.02;
 constexpr double latencyGain = 0.1;
+/// A single probe may have been a short call.
+constexpr double probeGain = 0.5;
+/// Ratio of a reported speed to the one that the latency shows, above which it is not believed. A
+/// wait for a slot also raises the latency, so it is not close to 1.
+constexpr double believedSpeedRatio = 2.5;
 /// Seconds. Longer than a cold start (3 s), which the recent speed follows.
 constexpr double lastingSpeedLifetime = 8.0;
 /// Seconds. About the length of the disturbances that recent speeds have (0.6 s).
@@ -61,6 +66,16 @@
     addToMean(service.limit, load.limit, service.all.samples == 0.0 ? 1.0 : loadGain);
 }
 
+void learnLatency(TargetWorkView &target, const KindMeans &means, const WorkSample &sample)
+{
+    if (!sample.latency || means.latency <= 0.0)
+        return;
+    const double ratio = *sample.latency / means.latency;
+    if (target.latencyRatio == 0.0)
+        target.latencyRatio = ratio;
+    addToMean(target.latencyRatio, ratio, sample.isProbe ? probeGain : latencyGain);
+}
+
 } // namespace
 
 void learnWork(ServiceWork &service, TargetWorkView &target, const WorkSample &sample,
@@ -80,16 +95,15 @@
     KindMeans &means = meansFor(service, sample.kind);
     addSample(means, ownTime, sample.latency);
     addSample(service.all, ownTime, sample.latency);
-    target.recentSpeed = std::clamp(means.ownTime / ownTime, slowestSpeed, fastestSpeed);
+    learnLatency(target, means, sample);
+    double speed = means.ownTime / ownTime;
+    if (target.latencyRatio > 0.0)
+        speed = std::min(speed, believedSpeedRatio / target.latencyRatio);
+    target.recentSpeed = std::clamp(speed, slowestSpeed, fastestSpeed);
     if (target.lastingSpeed == 0.0)
         target.lastingSpeed = target.recentSpeed;
     addToMean(target.lastingSpeed, target.recentSpeed,
               std::min(0.3, 1.0 - std::exp(-elapsed / lastingSpeedLifetime)));
-    if (!sample.latency || means.latency <= 0.0)
-        return;
-    const double ratio = *sample.latency / means.latency;
-    const bool isReplaced = sample.isProbe || target.latencyRatio == 0.0;
-    addToMean(target.latencyRatio, ratio, isReplaced ? 1.0 : latencyGain);
 }
 
 double speedOf(const TargetWorkView &target, TimePoint now)
--- a/Libraries/LibPolicy/TargetSpeed.h
+++ b/Libraries/LibPolicy/TargetSpeed.h
@@ -47,7 +47,7 @@
     std::string_view kind;
     TargetLoad load;
     std::optional<double> latency; ///< Milliseconds; nothing if the call was not served.
-    bool isProbe = false;          ///< Replaces the latency ratio.
+    bool isProbe = false;          ///< Counts more for the latency ratio.
 };
 
 /// Ignored if the load holds no work report.
--- a/Tests/LibPolicy/TestLeastWork.cpp
+++ b/Tests/LibPolicy/TestLeastWork.cpp
@@ -4,7 +4,10 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <chrono>
 #include <map>
+#include <string>
+#include <vector>
 
 using namespace chive;
 
@@ -230,3 +233,37 @@
               == doctest::Approx(2.0).epsilon(0.1));
     }
 }
+
+TEST_CASE("One choice among 28 targets takes a few microseconds")
+{
+    for (const std::string_view name : {std::string_view("two-choices"), leastWorkName}) {
+        const ChoicePlugin *plugin = Registry<ChoicePlugin>::find(name);
+        ChoiceState state;
+        std::vector<std::string> ids;
+        std::vector<Candidate> candidates;
+        for (int i = 0; i < 28; ++i)
+            ids.push_back("node-" + std::to_string(i));
+        TimePoint now{std::chrono::hours(1)};
+        for (const std::string &id : ids) {
+            candidates.push_back({id, candidates.size() % 3 == 0, false});
+            noteSent(state, id, Duration::Short, now - Milliseconds(50));
+            ObservedOutcome end{now - Milliseconds(50), Duration::Short, true, false,
+                                TargetLoad{10, 0, 20, 3, WorkReport{0, 500}}};
+            end.kind = "read";
+            noteEnded(state, id, end, now);
+        }
+        constexpr int choices = 20'000;
+        const auto start = std::chrono::steady_clock::now();
+        for (int i = 0; i < choices; ++i) {
+            now += Microseconds(20);
+            (void)plugin->choose(state, candidates, {Importance::Normal, Duration::Short, "read"},
+                                 now);
+        }
+        const std::chrono::duration<double, std::micro> taken
+                = std::chrono::steady_clock::now() - start;
+        MESSAGE(std::string(name), ": ", taken.count() / choices, " us");
+        // Wide, because the machine may be busy; a choice that allocates for each candidate more
+        // than two-choices or that is quadratic exceeds it.
+        CHECK(taken.count() / choices < 50.0);
+    }
+}
