LibPolicy: Detect a straggler by one overdue call

With calls of one kind a target that is ten times slower was noticed only once two calls were four mean latencies old. A call older than 2.5 times the 99th percentile of the latency now counts as overdue.

--- a/Libraries/LibPolicy/LeastWork.cpp
+++ b/Libraries/LibPolicy/LeastWork.cpp
@@ -35,8 +35,10 @@
 constexpr double explorationShare = 0.25;
 /// Ratio of observed latency to the latency at the estimated speed from which a report is doubted.
 constexpr double doubtedRatio = 2.0;
-/// Milliseconds, and mean latencies, after which an outstanding call is overdue.
+/// Milliseconds, 99th percentiles of the latency, and mean latencies if there are two calls, after
+/// which an outstanding call is overdue.
 constexpr double shortestOverdue = 50.0;
+constexpr double overdueLongLatencies = 2.5;
 constexpr double overdueLatencies = 4.0;
 
 double millisecondsBetween(TimePoint from, TimePoint until)
@@ -44,23 +46,28 @@
     return std::chrono::duration<double, std::milli>(until - from).count();
 }
 
-/// How long a target has left at least two calls of this chooser unanswered, beyond the time that
-/// calls usually take. One call alone may just be a long one. Reports do not shorten it, as they
-/// may be false.
-double overdueOf(const ChoiceState &state, const TargetView &view, TimePoint now)
+/// The age of a call of this chooser that is overdue at the target, or 0. Either hardly any call
+/// takes as long, or two calls do that each may just be long ones. Reports do not matter here, as
+/// they may be false.
+double overdueAge(const ChoiceState &state, const TargetView &view, TimePoint now)
 {
+    if (view.shortInFlight.empty() || state.work.longLatency <= 0.0)
+        return 0.0;
+    const double oldest = millisecondsBetween(*view.shortInFlight.begin(), now);
+    if (oldest > std::max(overdueLongLatencies * state.work.longLatency, shortestOverdue))
+        return oldest;
     if (view.shortInFlight.size() < 2)
         return 0.0;
-    const TimePoint second = *std::next(view.shortInFlight.begin());
-    const double usual = std::max(overdueLatencies * state.work.all.latency, shortestOverdue);
-    return std::max(millisecondsBetween(second, now) - usual, 0.0);
+    const double second = millisecondsBetween(*std::next(view.shortInFlight.begin()), now);
+    return second > std::max(overdueLatencies * state.work.all.latency, shortestOverdue) ? second
+                                                                                         : 0.0;
 }
 
 /// Relative to the mean of the kind, because kinds differ by more than a straggler does.
 double relativeLatency(const ChoiceState &state, const TargetView &view, TimePoint now)
 {
     const double usual = state.work.all.latency > 0.0 ? state.work.all.latency : defaultWork;
-    return view.work.latencyRatio * usual + overdueOf(state, view, now);
+    return std::max(view.work.latencyRatio * usual, overdueAge(state, view, now));
 }
 
 std::size_t sentSince(const TargetView &view, TimePoint report)
@@ -110,7 +117,7 @@
     const double beyondLimit = std::max(estimate.busy - 1.0, 0.0) * limit;
     const double slotTime = usualWork / estimate.speed;
     estimate.wait
-            = std::max(reportedWait, beyondLimit * slotTime / limit) + overdueOf(state, view, now);
+            = std::max(reportedWait, beyondLimit * slotTime / limit) + overdueAge(state, view, now);
     estimate.cost = estimate.wait + work + crowdingCharge(state, estimate.busy, work);
     if (request.duration == Duration::Long)
         estimate.cost += view.longInFlight * work;
@@ -133,7 +140,7 @@
         return "an attempt has just failed";
     if (!wouldAdmit(view, Importance::Low, now))
         return "admits only more important work";
-    if (overdueOf(state, view, now) > 0.0)
+    if (overdueAge(state, view, now) > 0.0)
         return "calls are overdue";
     if (estimate.reportAge < 0.0)
         return "no report yet";
--- a/Libraries/LibPolicy/TargetSpeed.cpp
+++ b/Libraries/LibPolicy/TargetSpeed.cpp
@@ -66,6 +66,21 @@
     addToMean(service.limit, load.limit, service.all.samples == 0.0 ? 1.0 : loadGain);
 }
 
+/// Moves the estimate up by most of a step for a longer latency and down by the rest of it for any
+/// other, which balances where one in a hundred is longer.
+void learnLongLatency(ServiceWork &service, double latency)
+{
+    constexpr double shorterShare = 0.99;
+    constexpr double stepPart = 0.1;
+    if (service.longLatency == 0.0) {
+        service.longLatency = 2.0 * latency;
+        return;
+    }
+    const double step = stepPart * service.longLatency;
+    const bool isLonger = latency > service.longLatency;
+    service.longLatency += step * (isLonger ? shorterShare : shorterShare - 1.0);
+}
+
 void learnLatency(TargetWorkView &target, const KindMeans &means, const WorkSample &sample)
 {
     if (!sample.latency || means.latency <= 0.0)
@@ -96,6 +111,8 @@
     addSample(means, ownTime, sample.latency);
     addSample(service.all, ownTime, sample.latency);
     learnLatency(target, means, sample);
+    if (sample.latency)
+        learnLongLatency(service, *sample.latency);
     double speed = means.ownTime / ownTime;
     if (target.latencyRatio > 0.0)
         speed = std::min(speed, believedSpeedRatio / target.latencyRatio);
--- a/Libraries/LibPolicy/TargetSpeed.h
+++ b/Libraries/LibPolicy/TargetSpeed.h
@@ -26,8 +26,9 @@
 {
     std::map<std::string, KindMeans, std::less<>> kinds; ///< At most 32; others share "".
     KindMeans all;
-    double busy = 0.0;  ///< Mean of TargetWorkView::usualBusy over the targets.
-    double limit = 0.0; ///< Mean of TargetLoad::limit.
+    double longLatency = 0.0; ///< Estimated 99th percentile of the latency of all kinds.
+    double busy = 0.0;        ///< Mean of TargetWorkView::usualBusy over the targets.
+    double limit = 0.0;       ///< Mean of TargetLoad::limit.
 };
 
 /// What a chooser knows of the work of one target.
