--- a/Tests/LibPolicy/LoadSimulation.cpp
+++ b/Tests/LibPolicy/LoadSimulation.cpp
@@ -1,13 +1,11 @@
 #include "LoadSimulation.h"
+#include "SimulationState.h"
 
 #include <LibPolicy/Choice.h>
-#include <LibPolicy/TargetWork.h>
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <functional>
-#include <limits>
 #include <numbers>
 #include <numeric>
 #include <queue>
@@ -17,53 +15,6 @@
 
 namespace {
 
-constexpr double infinity = std::numeric_limits<double>::infinity();
-constexpr double swingPeriod = 17.0;
-constexpr double noisePause = 3.4;
-constexpr double noiseLength = 0.6;
-constexpr double noiseFactor = 2.5;
-constexpr double noiseCapacity = 0.85 + 0.15 / noiseFactor;
-constexpr double coldTime = 3.0;
-/// Largest load of a target by the mean, to which perfect knowledge is bound as well.
-constexpr double evenness = 1.15;
-
-struct SimulatedCall
-{
-    std::size_t chooser = 0;
-    std::size_t target = 0;
-    std::size_t kind = 0;
-    double work = 0.0;
-    double sentAt = 0.0;
-    double startedAt = 0.0;
-    double endsAt = 0.0;
-    TargetLoad load;
-};
-
-struct SimulatedTarget
-{
-    std::string id;
-    double speed = 1.0;
-    std::size_t dataCentre = 0;
-    std::vector<std::size_t> running; ///< Indices of calls.
-    std::deque<std::size_t> queue;
-    std::size_t coming = 0; ///< Sent and not arrived.
-    double slowFrom = 0.0;  ///< Of the noise.
-    WorkEstimate estimate;
-    double workDone = 0.0;
-    double occupied = 0.0; ///< Integral of running and queued calls over the present window.
-    double occupiedAt = 0.0;
-};
-
-struct Event
-{
-    enum class Type : std::uint8_t { Request, Arrival, End, Answer, Window };
-    double at = 0.0; ///< Seconds.
-    Type type = Type::Request;
-    std::size_t index = 0; ///< Data centre of a request, otherwise the call.
-
-    bool operator>(const Event &other) const { return at > other.at; }
-};
-
 class Simulation
 {
 public:
@@ -90,7 +41,8 @@
         for (std::size_t i = 0; i < settings_.dataCentres; ++i)
             scheduleRequest(i);
         events_.push({1.0, Event::Type::Window, 0});
-        while (!events_.empty() && events_.top().at < endOfRun()) {
+        const double end = settings_.warmUp + settings_.duration;
+        while (!events_.empty() && events_.top().at < end) {
             const Event event = events_.top();
             events_.pop();
             now_ = event.at;
@@ -105,8 +57,6 @@
         return std::uniform_real_distribution<double>(from, until)(random_);
     }
 
-    [[nodiscard]] double endOfRun() const { return settings_.warmUp + settings_.duration; }
-
     [[nodiscard]] TimePoint time(double seconds) const
     {
         return TimePoint(std::chrono::hours(1))
@@ -145,21 +95,11 @@
         return speed;
     }
 
-    [[nodiscard]] double requestsPerSecond() const
-    {
-        const double speeds
-                = std::accumulate(settings_.speeds.begin(), settings_.speeds.end(), 0.0);
-        double work = 0.0;
-        for (const SimulatedKind &kind : settings_.kinds)
-            work += kind.share * kind.meanWork / 1000.0;
-        const double capacity = speeds * static_cast<double>(settings_.slots) / work;
-        return settings_.load * capacity * (settings_.hasNoise ? noiseCapacity : 1.0);
-    }
-
     /// Poisson arrivals whose rate follows the demand of the data centre.
     void scheduleRequest(std::size_t dataCentre)
     {
-        const double mean = requestsPerSecond() / static_cast<double>(settings_.dataCentres);
+        const double mean
+                = requestsPerSecond(settings_) / static_cast<double>(settings_.dataCentres);
         const double largest = mean * (1.0 + settings_.swing);
         double at = now_;
         double demand = 0.0;
@@ -195,32 +135,13 @@
         }
     }
 
-    std::size_t drawKind()
-    {
-        double left = uniform(0.0, 1.0);
-        for (std::size_t i = 0; i + 1 < settings_.kinds.size(); ++i) {
-            left -= settings_.kinds[i].share;
-            if (left < 0.0)
-                return i;
-        }
-        return settings_.kinds.size() - 1;
-    }
-
-    double drawWork(const SimulatedKind &kind)
-    {
-        if (uniform(0.0, 1.0) < kind.heavyShare)
-            return kind.heavyFactor * kind.meanWork;
-        const double usual = (1.0 - kind.heavyShare * kind.heavyFactor) / (1.0 - kind.heavyShare);
-        return usual * kind.meanWork * uniform(0.6, 1.4);
-    }
-
     void send(std::size_t dataCentre)
     {
         SimulatedCall call;
         const std::size_t perCentre = settings_.choosers / settings_.dataCentres;
         call.chooser = dataCentre + settings_.dataCentres * (random_() % perCentre);
-        call.kind = drawKind();
-        call.work = drawWork(settings_.kinds[call.kind]);
+        call.kind = drawKind(settings_.kinds, random_);
+        call.work = drawWork(settings_.kinds[call.kind], random_);
         call.sentAt = now_;
         call.target = plugin_ == nullptr ? chooseWithPerfectKnowledge(dataCentre, call.kind)
                                          : chooseByPolicy(dataCentre, call);
@@ -476,33 +397,4 @@
     return Simulation(settings).run();
 }
 
-std::vector<SimulatedKind> coldChainKinds()
-{
-    return {{"temp-read", 0.5, 76.0, 0.03, 7.0},
-            {"spoil-claim", 0.15, 100.0, 0.03, 7.0},
-            {"hold-release", 0.15, 54.0, 0.03, 7.0},
-            {"trace-view", 0.2, 310.0, 0.03, 7.0}};
-}
-
-std::vector<SimulatedKind> searchKinds()
-{
-    return {{"search-query", 0.6, 270.0, 0.01, 4.0},
-            {"pin-snapshot", 0.1, 350.0, 0.01, 4.0},
-            {"file-view", 0.2, 680.0, 0.01, 4.0},
-            {"repo-browse", 0.1, 1'100.0, 0.01, 4.0}};
-}
-
-std::vector<double> spreadSpeeds(std::size_t targets)
-{
-    std::vector<double> speeds;
-    for (std::size_t i = 0; i < targets; ++i) {
-        // Neighbours differ much, so that each data centre has slow and fast targets. The step has
-        // no divisor in common with the numbers of targets in use.
-        const std::size_t position = i * 5 % targets;
-        speeds.push_back(0.5
-                         + 1.2 * static_cast<double>(position) / static_cast<double>(targets - 1));
-    }
-    return speeds;
-}
-
 } // namespace chive
