Node: Split the entry and the pressure task

The counting of callers' requests moves to Mesh/RootCounter, the refusals for want of the node's own room to Entry/EntryLimits, and the files of load balancing by work to their folders by flow. No behaviour changes; all unit tests build and TestPressureTask passes.

--- a/Services/Node/EntryTask.cpp
+++ b/Services/Node/EntryTask.cpp
@@ -10,6 +10,7 @@
 #include <LibPolicy/TreeBudget.h>
 #include <Node/CallMetrics.h>
 #include <Node/Entry/CustomerMetrics.h>
+#include <Node/Entry/EntryLimits.h>
 #include <Node/Entry/QuotaGate.h>
 
 #include <glog/logging.h>
@@ -301,22 +302,6 @@
         return most - most / reservedConnectionsDivisor;
     }
 
-    static Verdict connectionLimitVerdict()
-    {
-        Verdict verdict
-                = notRun(Reason::Overloaded, "the limit for requests in progress is reached");
-        verdict.retryAfter = Milliseconds(1000);
-        return verdict;
-    }
-
-    static Verdict memoryLimitVerdict()
-    {
-        Verdict verdict
-                = notRun(Reason::Overloaded, "the limit for request bodies in memory is reached");
-        verdict.retryAfter = Milliseconds(1000);
-        return verdict;
-    }
-
     void refuse(HttpExchange &exchange, const Verdict &verdict, const HttpRequest &request)
     {
         metrics_.countRefusedRequest(verdict);
--- a/Services/Node/PlacingStatus.cpp
+++ b/Services/Node/Mesh/PlacingStatus.cpp
@@ -1,4 +1,4 @@
-#include <Node/PlacingStatus.h>
+#include <Node/Mesh/PlacingStatus.h>
 
 #include <LibPolicy/LeastWork.h>
 
--- a/Services/Node/PressureTask.cpp
+++ b/Services/Node/PressureTask.cpp
@@ -3,12 +3,12 @@
 #include <LibKernel/Kernel.h>
 #include <LibNode/Messages.h>
 #include <LibPolicy/Collectors.h>
-#include <LibPolicy/LowerQuartile.h>
 #include <LibPolicy/MeshReport.h>
 #include <LibPolicy/RootAdmission.h>
 #include <LibPolicy/ServicePressure.h>
 #include <LibPolicy/TreeBudget.h>
 
+#include <Node/Mesh/RootCounter.h>
 #include <Node/Mesh/ShareMetrics.h>
 
 #include <glog/logging.h>
@@ -88,7 +88,7 @@
         bus.subscribe<RootDecided>([this](const RootDecided &decided) { count(decided); });
         bus.subscribe<CatalogueChanged>(
                 [this](const CatalogueChanged &changed) { setCatalogue(changed.catalogue); });
-        bus.subscribe<RootEnded>([this](const RootEnded &ended) { count(ended); });
+        bus.subscribe<RootEnded>([this](const RootEnded &ended) { rootCounter_.count(ended); });
         bus.subscribe<RouteCall>([this](const RouteCall &message) {
             enteredKinds_[message.call->kind] = {message.call->service, kernel_.clock().now()};
         });
@@ -147,45 +147,10 @@
             noteRequest(customerCounts_, decided.kind, decided.customer, decided.isAdmitted,
                         kernel_.clock().now());
         }
-        const std::chrono::duration<double> objective = decided.objective;
-        RootCount &count = rootCounts_[decided.kind];
         // The importance of a customer takes the place of the kind's, which is what is reported.
-        if (count.service.empty() || !ownImportance_.contains(decided.customer))
-            count.importance = decided.importance;
-        count.service = decided.service;
-        count.objective = objective.count();
-        count.offered += 1.0;
-        if (!decided.isAdmitted)
-            return;
-        count.admitted += 1.0;
-        count.inFlight += 1.0;
-    }
-
-    void count(const RootEnded &ended)
-    {
-        const auto found = rootCounts_.find(ended.kind);
-        if (found == rootCounts_.end())
-            return;
-        found->second.inFlight -= 1.0;
-        if (!ended.wasServed)
-            return;
-        const std::chrono::duration<double> latency = ended.latency;
-        LowerQuartile lowerQuartile{found->second.lowerQuartileLatency};
-        addSample(lowerQuartile, latency.count());
-        found->second.lowerQuartileLatency = lowerQuartile.value;
-    }
-
-    /// Returns the counts since the last report and resets them. The requests in flight stay
-    /// counted, and a kind with no requests is removed.
-    std::map<std::string, RootCount, std::less<>> takeRootCounts()
-    {
-        auto counts = rootCounts_;
-        std::erase_if(rootCounts_, [](const auto &entry) {
-            return entry.second.offered == 0.0 && entry.second.inFlight == 0.0;
-        });
-        for (auto &[kind, count] : rootCounts_)
-            count.offered = count.admitted = 0.0;
-        return counts;
+        rootCounter_.count(decided, ownImportance_.contains(decided.customer)
+                                            ? RootCounter::ImportanceOf::Customer
+                                            : RootCounter::ImportanceOf::Kind);
     }
 
     void report()
@@ -215,7 +180,7 @@
 
     bool isReportDue()
     {
-        if (!rootCounts_.empty() || !work_.empty())
+        if (!rootCounter_.isEmpty() || !work_.empty())
             return true;
         if (latestTargetPressure_.service.empty())
             return false;
@@ -235,7 +200,7 @@
                       {latestTargetPressure_.slots, latestTargetPressure_.waitSeconds}};
         for (const auto &[kind, entry] : enteredKinds_)
             own.target.enteredKinds.emplace(kind, entry.service);
-        own.roots = takeRootCounts();
+        own.roots = rootCounter_.take();
         own.work = std::exchange(work_, {});
         own.calls = takeCalls(calls_, now);
         if (!catalogue_->customers.empty() && isAnythingRefused(*mesh_))
@@ -394,9 +359,9 @@
     int intervalsSinceReport_ = 0;
     int intervalsSinceSummary_ = 0;
     std::shared_ptr<const MeshPressure> mesh_ = std::make_shared<const MeshPressure>();
-    std::map<std::string, EnteredKind> enteredKinds_;          ///< By kind.
-    std::map<std::string, RootCount, std::less<>> rootCounts_; ///< Since the last report, by kind.
-    WorkByKind work_;                                          ///< Since the last report.
+    std::map<std::string, EnteredKind> enteredKinds_; ///< By kind.
+    RootCounter rootCounter_;
+    WorkByKind work_; ///< Since the last report.
     CallCounter calls_;
     bool hasReportedRejections_ = false; ///< Since the last interval; on collectors only.
     TreeStatistics treeStatistics_;      ///< Used on collectors only.
--- a/Services/Node/OwnWork.cpp
+++ b/Services/Node/Target/OwnWork.cpp
@@ -1,4 +1,4 @@
-#include <Node/OwnWork.h>
+#include <Node/Target/OwnWork.h>
 
 #include <utility>
 #include <vector>
--- a/Services/Node/TargetChooser.cpp
+++ b/Services/Node/TargetChooser.cpp
@@ -1,6 +1,6 @@
 #include <Node/TargetChooser.h>
 
-#include <Node/PlacingStatus.h>
+#include <Node/Mesh/PlacingStatus.h>
 
 #include <nlohmann/json.hpp>
 
--- a/Services/Node/TargetTask.cpp
+++ b/Services/Node/TargetTask.cpp
@@ -9,7 +9,7 @@
 #include <Node/CallContexts.h>
 #include <Node/CrashDetector.h>
 #include <Node/LocalTarget.h>
-#include <Node/OwnWork.h>
+#include <Node/Target/OwnWork.h>
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
