TreeBudget: Limit trees only where the settings ask for it

Ruled out: keeping the changed token weights without the limits, since earlier deployments would be served in another way than before.

Change: `planning` under `[retries]` is `calls` by default, with the weights and attempts of before; `trees` turns the limits, the reports of calls and the other weights on.

Result: TestLibPolicy, TestTargetChooser and TestPressureTask pass.

--- a/Libraries/LibPolicy/Retry.cpp
+++ b/Libraries/LibPolicy/Retry.cpp
@@ -13,14 +13,19 @@
 /// additional capacity. The bound allows retries in proportion to the requests of the same window,
 /// of the one half a window before it, or of the one before it. So it holds for any weighted mean
 /// of these, for each node and for their sum. The rest is a margin for retries that no node counts.
-constexpr double ratioRefillShare = 0.4;
-constexpr std::array<double, 2> ratioLaterShares{0.0, 0.25};
-constexpr double ratioCapacityShare = 0.2;
-/// Moves from the current requests to those of the window before while the service rejects calls.
-/// Whenever a node changes and however often, what this share adds in a window comes from requests
-/// of that window or of the one before it, each counted once. It is at most twice this share of the
-/// most requests that the bound names, in the sum of all nodes as well. So the sum of all shares
-/// and once more this one must not exceed 1.
+struct RatioShares
+{
+    double refill = 0.0;
+    std::array<double, 2> later{};
+    double capacity = 0.0;
+};
+constexpr RatioShares sharesForCalls{0.45, {0.2, 0.1}, 0.1};
+constexpr RatioShares sharesForTrees{0.4, {0.0, 0.25}, 0.2};
+/// With RetryPlanning::Trees, moves from the current requests to those of the window before while
+/// the service rejects calls. Whenever a node changes and however often, what this share adds in a
+/// window comes from requests of that window or of the one before it, each counted once. It is at
+/// most twice this share of the most requests that the bound names, in the sum of all nodes as
+/// well. So the sum of all shares and once more this one must not exceed 1.
 constexpr double ratioShiftedShare = 0.15;
 /// Number of spans in a window in which first attempts are counted.
 constexpr int spansOfWindow = 40;
@@ -186,19 +191,21 @@
 }
 
 RetryBudgetLimits sharedLimits(double ratio, double constant, Milliseconds window,
-                               std::size_t nodes)
+                               std::size_t nodes, RetryPlanning planning)
 {
+    const bool isForTrees = planning == RetryPlanning::Trees;
+    const RatioShares &shares = isForTrees ? sharesForTrees : sharesForCalls;
     const auto sharers = static_cast<double>(std::max(nodes, minimumNodes));
     const std::chrono::duration<double> seconds = window;
     RetryBudgetLimits limits;
-    limits.perFirstAttempt = ratioRefillShare * ratio;
-    for (std::size_t i = 0; i < ratioLaterShares.size(); ++i)
-        limits.perFirstAttemptLater[i] = ratioLaterShares[i] * ratio;
-    limits.shiftedPerFirstAttempt = ratioShiftedShare * ratio;
+    limits.perFirstAttempt = shares.refill * ratio;
+    for (std::size_t i = 0; i < shares.later.size(); ++i)
+        limits.perFirstAttemptLater[i] = shares.later[i] * ratio;
+    limits.shiftedPerFirstAttempt = isForTrees ? ratioShiftedShare * ratio : 0.0;
     // The constant can be spent twice in a window: as saved tokens and as the refill.
     limits.capacity = constantUsedShare * constant / sharers / 2.0;
     limits.perSecond = limits.capacity / seconds.count();
-    limits.capacityPerFirstAttempt = ratioCapacityShare * ratio;
+    limits.capacityPerFirstAttempt = shares.capacity * ratio;
     limits.window = window;
     limits.reservedShare = 0.8;
     limits.chargesUnreachedAttempts = false;
--- a/Libraries/LibPolicy/Retry.h
+++ b/Libraries/LibPolicy/Retry.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibNode/Call.h>
+#include <LibSettings/Settings.h>
 
 #include <array>
 #include <deque>
@@ -46,7 +47,8 @@
 /// `constant` retries plus `ratio` times the number of requests. A margin is kept for what nodes
 /// cannot know of each other: members that join and leave, and retries made by callers.
 [[nodiscard]] RetryBudgetLimits sharedLimits(double ratio, double constant, Milliseconds window,
-                                             std::size_t nodes);
+                                             std::size_t nodes,
+                                             RetryPlanning planning = RetryPlanning::Calls);
 
 /// A token bucket that caps the retries towards one service at a share of the first attempts.
 struct RetryBudget
--- a/Libraries/LibPolicy/TreeBudget.cpp
+++ b/Libraries/LibPolicy/TreeBudget.cpp
@@ -187,7 +187,8 @@
         add(ofKind.calls, accepted, treeTimeConstant, now);
         add(ofKind.accepted, accepted - count.earlier, rejectionTimeConstant, now);
         const SharedRetryBound &bound = statistics.bound;
-        ofKind.budget.limits = sharedLimits(bound.ratio, 0.0, bound.window, 1);
+        ofKind.budget.limits
+                = sharedLimits(bound.ratio, 0.0, bound.window, 1, RetryPlanning::Trees);
         noteFirstAttempt(ofKind.budget, now, accepted);
         takeTokens(ofKind.budget, std::min(count.rejected, std::max(0.0, ofKind.budget.tokens)));
     }
--- a/Libraries/LibSettings/ParseSettings.cpp
+++ b/Libraries/LibSettings/ParseSettings.cpp
@@ -163,6 +163,12 @@
     bound.ratio = number(*table, "ratio");
     bound.constant = number(*table, "constant");
     bound.window = secondsOf(number(*table, "window_s"));
+    const TextRule planningRule{[](std::string_view text) {
+                                    return text.empty() || text == "calls" || text == "trees";
+                                },
+                                "\"calls\" or \"trees\""};
+    if (table->text("planning", Presence::Optional, planningRule) == "trees")
+        bound.planning = RetryPlanning::Trees;
     settings.retryBound = bound;
     table->rejectUnknownKeys();
 }
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -27,6 +27,12 @@
 [[nodiscard]] std::string format(const Endpoint &endpoint);
 [[nodiscard]] Result<Endpoint> parseEndpoint(std::string_view text);
 
+/// What the retries that all nodes share are planned for while a service rejects calls.
+enum class RetryPlanning : std::uint8_t {
+    Calls, ///< Each call takes a retry if there is one.
+    Trees, ///< Roots are limited to those whose call trees the retries can complete.
+};
+
 /// The settings of one node, from its TOML file.
 struct Settings
 {
@@ -71,6 +77,7 @@
         double ratio = 0.0;    ///< Of the requests for it.
         double constant = 0.0; ///< Besides.
         Milliseconds window{10'000};
+        RetryPlanning planning = RetryPlanning::Calls;
     };
     std::optional<RetryBound> retryBound; ///< Nothing: each node keeps a bound of its own.
 
--- a/Services/Node/PressureTask.cpp
+++ b/Services/Node/PressureTask.cpp
@@ -71,7 +71,9 @@
                               .Help("Share of callers' requests that rejections downstream allow.")
                               .Register(kernel.metrics()))
     {
-        if (const auto &bound = kernel.settings().retryBound)
+        const auto &bound = kernel.settings().retryBound;
+        plansTrees_ = bound && bound->planning == RetryPlanning::Trees;
+        if (plansTrees_)
             treeStatistics_.bound = {bound->ratio, bound->constant, bound->window};
         kernel.addStatus("trees", [this] {
             return nlohmann::json{{"rejected", mesh_->rejectedShares},
@@ -243,8 +245,10 @@
     {
         for (const auto &[kind, count] : report.roots)
             noteRoots(rootStatistics_, report.nodeId, kind, count, now);
-        for (const auto &[kind, count] : report.roots)
-            noteTreeRoots(treeStatistics_, kind, count, now);
+        if (plansTrees_) {
+            for (const auto &[kind, count] : report.roots)
+                noteTreeRoots(treeStatistics_, kind, count, now);
+        }
         noteCustomers(customerTable_, report.nodeId, std::move(report.customers), now);
         if (report.target.service.empty())
             return;
@@ -271,6 +275,8 @@
 
     void limitTrees(MeshPressure &mesh, TimePoint now)
     {
+        if (!plansTrees_)
+            return;
         TreeLimits limits = treeLimits(treeStatistics_, now);
         for (const auto &[kind, share] : limits.treeShares) {
             const auto [found, isNew] = mesh.rootShares.try_emplace(kind, share);
@@ -364,6 +370,7 @@
     WorkByKind work_; ///< Since the last report.
     CallCounter calls_;
     bool hasReportedRejections_ = false; ///< Since the last interval; on collectors only.
+    bool plansTrees_ = false;            ///< See RetryPlanning.
     TreeStatistics treeStatistics_;      ///< Used on collectors only.
     PressureTable pressureTable_;        ///< Used on collectors only.
     RootStatistics rootStatistics_;      ///< Used on collectors only.
--- a/Services/Node/TargetChooser.cpp
+++ b/Services/Node/TargetChooser.cpp
@@ -16,7 +16,9 @@
 constexpr std::size_t maximumAttempts = 4;
 /// Attempts for one call that targets reject without running it. Giving it up would waste what has
 /// run above it in its tree.
-constexpr std::size_t maximumRejectedAttempts = 12;
+constexpr std::size_t maximumRejectedAttempts = 8;
+/// The same where roots are limited to the trees that retries can complete.
+constexpr std::size_t maximumRejectedAttemptsInTrees = 12;
 /// A call that has less time left does not wait for a token to be sent again.
 constexpr Milliseconds minimumTimeForRetry{40};
 /// Estimated number of nested calls that a repeated call repeats towards each downstream service.
@@ -61,7 +63,7 @@
     members_ = members;
     if (retryBound_) {
         retryLimits_ = sharedLimits(retryBound_->ratio, retryBound_->constant, retryBound_->window,
-                                    members.size());
+                                    members.size(), retryBound_->planning);
         for (auto &[name, service] : services_)
             service.budget.limits = *retryLimits_;
     }
@@ -132,7 +134,10 @@
                                                   TimePoint now)
 {
     const bool isRejected = isRejectedByTarget(outcome.result);
-    if (attempts.count >= (isRejected ? maximumRejectedAttempts : maximumAttempts))
+    const bool plansTrees = retryBound_ && retryBound_->planning == RetryPlanning::Trees;
+    const std::size_t rejectedAttempts
+            = plansTrees ? maximumRejectedAttemptsInTrees : maximumRejectedAttempts;
+    if (attempts.count >= (isRejected ? rejectedAttempts : maximumAttempts))
         return RetryPlan::None;
     const bool mayHaveRun
             = outcome.result.has_value() || outcome.result.error().execution != Execution::NotRun;
--- a/Services/Node/TargetTask.cpp
+++ b/Services/Node/TargetTask.cpp
@@ -357,7 +357,8 @@
 
     void noteRunEnded(const Work &work, const Judged<Answer> &result)
     {
-        if (kernel_.settings().retryBound) {
+        const auto &bound = kernel_.settings().retryBound;
+        if (bound && bound->planning == RetryPlanning::Trees) {
             CallCount &count = callsByRootKind_[work.call->rootKind];
             count.calls += 1.0;
             count.rejected += isRejectedByTarget(result) ? 1.0 : 0.0;
--- a/Tests/LibPolicy/SimulatedRejections.h
+++ b/Tests/LibPolicy/SimulatedRejections.h
@@ -73,7 +73,7 @@
         statistics_.bound = bound;
         budgets_.assign(deployment.nodes,
                         sharedBudget(sharedLimits(bound.ratio, bound.constant, bound.window,
-                                                  deployment.nodes)));
+                                                  deployment.nodes, RetryPlanning::Trees)));
     }
 
     void runFor(int ticks, double acceptedShare)
--- a/Tests/LibPolicy/TestSharedRetryBound.cpp
+++ b/Tests/LibPolicy/TestSharedRetryBound.cpp
@@ -150,7 +150,8 @@
             CAPTURE(nodes);
             CAPTURE(seed);
             std::mt19937 random(seed);
-            const RetryBudget fresh = sharedBudget(sharedLimits(ratio, constant, window, nodes));
+            const RetryBudget fresh = sharedBudget(
+                    sharedLimits(ratio, constant, window, nodes, RetryPlanning::Trees));
             std::vector<RetryBudget> budgets(nodes, fresh);
             constexpr std::size_t length = 2 * steps;
             History history{std::vector<int>(length), std::vector<int>(length)};
--- a/Tests/Node/TestTargetChooser.cpp
+++ b/Tests/Node/TestTargetChooser.cpp
@@ -34,7 +34,8 @@
 {
     const TimePoint now{std::chrono::hours(1)};
     Settings settings;
-    settings.retryBound = Settings::RetryBound{0.2, 93.0, Milliseconds(10'000)};
+    settings.retryBound
+            = Settings::RetryBound{0.2, 93.0, Milliseconds(10'000), RetryPlanning::Trees};
     TargetChooser chooser(firstTarget, settings);
     Member member;
     member.nodeId = "n1";
