HttpClient: Accept closed responses where SIOCOUTQ is not supported

Cause: a response without a length is complete only if the server has received the whole request, which SIOCOUTQ tells. Where the call fails, every such response would be refused, although the target had answered in full.

Ruled out: refusing them for safety, since a request without a body cannot be cut off, and its whole answer would be lost.

Change: if the call fails, only the bytes in our own buffer count, as before.

Result: TestLibHttp passes (partial responses to unfinished uploads included).

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -200,7 +200,10 @@
         int unacknowledged = 0;
         int error = 0;
         socklen_t errorSize = sizeof error;
-        return ioctl(socket, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0
+        // Not every kernel can tell what is unacknowledged; then only our own buffer counts.
+        if (ioctl(socket, SIOCOUTQ, &unacknowledged) != 0)
+            unacknowledged = 0;
+        return unacknowledged == 0
                && getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &errorSize) == 0 && error == 0;
     }
 
