--- a/Libraries/LibPolicy/TreeBudget.cpp
+++ b/Libraries/LibPolicy/TreeBudget.cpp
@@ -35,9 +35,9 @@
 /// Admitted of each kind at least, so that the end of the rejections is detected.
 constexpr double probeShare = 0.02;
 /// Share of the tokens that is planned for, as nodes do not have them in proportion to their calls.
-/// With 0.8, 2.1 to 2.8 in 100 roots failed in the test's load (cold chain); with 0.6, 0.8 to 1.6.
+/// With 0.8, more than 2 in 100 roots failed in TestTreesUnderRejection.
 constexpr double plannedShare = 0.6;
-/// Saved tokens are planned to last for this long: about as long as the rejections of the page.
+/// Saved tokens are planned to last for this long, as rejections last for some seconds.
 constexpr Seconds savedTokensLast{8.0};
 /// Counts without rejections are reported this often.
 constexpr Milliseconds learningInterval{1'000};
--- a/Libraries/LibQuota/QuotaTiming.h
+++ b/Libraries/LibQuota/QuotaTiming.h
@@ -21,7 +21,7 @@
 /// The longest Retry-After before it is spread.
 inline constexpr Milliseconds longestRetryAfter{2'000};
 
-/// Identifies the time at which an allocator lent tokens, in milliseconds of its own clock.
+/// Identifies the time at which an allocator lent tokens, in units that only the allocator knows.
 using LeaseStamp = std::uint64_t;
 
 } // namespace chive
