--- a/review/stand-ins-2/Lab.h
+++ b/review/stand-ins-2/Lab.hh
@@ -148,7 +148,10 @@
         {
             return firstLine.size() > 9 ? std::atoi(firstLine.c_str() + 9) : 0;
         }
-        [[nodiscard]] std::string method() const { return firstLine.substr(0, firstLine.find(' ')); }
+        [[nodiscard]] std::string method() const
+        {
+            return firstLine.substr(0, firstLine.find(' '));
+        }
         [[nodiscard]] std::string target() const
         {
             const auto from = firstLine.find(' ') + 1;
@@ -173,9 +176,11 @@
         while (std::getline(head, line)) {
             const auto colon = line.find(':');
             if (colon != std::string::npos)
-                message.headers.emplace_back(line.substr(0, colon), trimmed(line.substr(colon + 1)));
+                message.headers.emplace_back(line.substr(0, colon),
+                                             trimmed(line.substr(colon + 1)));
         }
-        const std::size_t size = std::strtoull(message.header("Content-Length").c_str(), nullptr, 10);
+        const std::size_t size
+                = std::strtoull(message.header("Content-Length").c_str(), nullptr, 10);
         while (buffer_.size() < size) {
             if (!fill(until))
                 return std::nullopt;
@@ -282,8 +287,10 @@
         const int on = 1;
         ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
         const sockaddr_in address = addressOf(endpoint);
-        isListening_ = ::bind(listener_, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0
-                       && ::listen(listener_, 512) == 0;
+        isListening_
+                = ::bind(listener_, reinterpret_cast<const sockaddr *>(&address), sizeof address)
+                          == 0
+                  && ::listen(listener_, 512) == 0;
         if (isListening_)
             acceptor_ = std::thread([this] { acceptAll(); });
     }
@@ -347,7 +354,8 @@
     for (std::size_t i = 0; i < bytes.size(); i += 3) {
         std::uint32_t group = 0;
         for (std::size_t j = 0; j < 3; ++j)
-            group = group << 8 | (i + j < bytes.size() ? static_cast<std::uint8_t>(bytes[i + j]) : 0U);
+            group = group << 8
+                    | (i + j < bytes.size() ? static_cast<std::uint8_t>(bytes[i + j]) : 0U);
         for (std::size_t j = 0; j < 4; ++j)
             text += i + j <= bytes.size() ? digits[group >> (18 - 6 * j) & 63U] : '=';
     }
@@ -406,7 +414,8 @@
         const std::string topic = parameter(target, "topic");
         const Headers json{{"Content-Type", "application/json"}};
         if (target.find("log-append") != std::string::npos) {
-            const auto size = static_cast<std::uint8_t>(request.body.size() > 4 ? request.body[4] : 0);
+            const auto size
+                    = static_cast<std::uint8_t>(request.body.size() > 4 ? request.body[4] : 0);
             put(topic, request.body.substr(5, size), request.body.substr(5 + size));
             return stream.write(formatResponse(200, json, R"({"offset":0,"end":1})"));
         }
@@ -421,10 +430,10 @@
                 items += std::string(items.empty() ? "" : ",") + R"({"key":")" + key
                          + R"(","value":")" + base64(entries[offset].value) + R"(","offset":)"
                          + std::to_string(offset) + "}";
-            return stream.write(formatResponse(
-                    200, json,
-                    R"({"items":[)" + items + R"(],"hasMore":false,"end":)"
-                            + std::to_string(entries.size()) + "}"));
+            return stream.write(formatResponse(200, json,
+                                               R"({"items":[)" + items
+                                                       + R"(],"hasMore":false,"end":)"
+                                                       + std::to_string(entries.size()) + "}"));
         }
         const std::uint64_t from = std::strtoull(parameter(target, "from").c_str(), nullptr, 10);
         const int wait = std::atoi(parameter(target, "waitMs").c_str());
@@ -534,8 +543,8 @@
         std::string name = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
         folder_ = ::mkdtemp(name.data());
         std::random_device random;
-        net_ = "127." + std::to_string(20 + random() % 200) + "." + std::to_string(1 + random() % 250)
-               + ".";
+        net_ = "127." + std::to_string(20 + random() % 200) + "."
+               + std::to_string(1 + random() % 250) + ".";
         storeEndpoint_ = net_ + "250:8309";
     }
     ~Deployment()
@@ -572,7 +581,8 @@
                 {"bounds.graceS", "6"},
                 {"limits.maxFds", "4100"},
         };
-        std::ofstream(settingsOf(machine)) << render(readFile(root_ + "/deploy/node.toml.template"), values);
+        std::ofstream(settingsOf(machine))
+                << render(readFile(root_ + "/deploy/node.toml.template"), values);
         memoryMb_[machine.name] = memoryMb;
         return machine;
     }
@@ -595,7 +605,8 @@
     {
         for (; now() < until; sleepFor(0.1)) {
             const auto stream = connectTo(machine.ready());
-            if (stream == nullptr || !stream->write("GET /chiverouter/ready HTTP/1.1\r\nHost: x\r\n\r\n"))
+            if (stream == nullptr
+                || !stream->write("GET /chiverouter/ready HTTP/1.1\r\nHost: x\r\n\r\n"))
                 continue;
             const auto response = stream->read(now() + 1.0);
             if (response && response->status() == 200)
@@ -697,7 +708,8 @@
             std::unique_lock lock(mutex_);
             while (!isEnding_) {
                 sendHeartbeat(machine, instance, "ready", sequence++);
-                changed_.wait_for(lock, std::chrono::milliseconds(1500), [this] { return isEnding_; });
+                changed_.wait_for(lock, std::chrono::milliseconds(1500),
+                                  [this] { return isEnding_; });
             }
         })
     {}
@@ -761,8 +773,8 @@
                                  const std::string &id, int deadlineMs, std::size_t bodySize)
 {
     std::string text = method + " " + path + " HTTP/1.1\r\nHost: " + host
-                       + "\r\nX-Chiverouter-Attempt-Id: " + id + "\r\nX-Chiverouter-Deadline-Ms: "
-                       + std::to_string(deadlineMs) + "\r\n";
+                       + "\r\nX-Chiverouter-Attempt-Id: " + id
+                       + "\r\nX-Chiverouter-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\n";
     if (bodySize > 0 || method == "POST")
         text += "Content-Length: " + std::to_string(bodySize) + "\r\n";
     return text + "\r\n";
@@ -771,7 +783,8 @@
 /// The headers of a back end's answer to a request.
 inline Headers stamped(const std::string &requestId)
 {
-    return {{"X-Chiverouter-Attempt-Id", requestId}, {"X-Chiverouter-Response-Stamp", "s." + requestId}};
+    return {{"X-Chiverouter-Attempt-Id", requestId},
+            {"X-Chiverouter-Response-Stamp", "s." + requestId}};
 }
 
 } // namespace lab
